Let the keyed stand-in spoil answers and carry out orders late

Cause: whole daemons were never tested with second, unframed, early or reset answers, nor with grants and releases that are carried out late; only the client and the lease table were. Change: KeyedServer takes how many answers to spoil and how, and how many orders to leave unanswered until later; ScriptedBackend stands for a server that a test scripts byte by byte. BULRUSH_TEST_OUTPUT keeps what the processes of a test print. Ruled out: early answers by the stand-in, as RESTinio reads bodies whole.

--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -153,19 +153,24 @@
 
 void EntryFleet::writeRecord(const std::string &id, const std::string &state)
 {
-    const EntryServer &kind = m_kinds.at(id);
+    writeRecordOf(m_kinds.at(id), server(id).address(), state);
+}
+
+void EntryFleet::writeRecordOf(const EntryServer &server, const std::string &address,
+                               const std::string &state)
+{
     Json::Value value;
-    value["service"] = kind.service;
-    value["address"] = server(id).address();
-    value["zone"] = kind.domain;
+    value["service"] = server.service;
+    value["address"] = address;
+    value["zone"] = server.domain;
     value["version"] = "v1";
-    value["slots"] = kind.slots;
+    value["slots"] = server.slots;
     value["state"] = state;
     value["coldRemainingS"] = 0;
     value["seq"] = 1;
     Json::Value row;
     row["table"] = "servers";
-    row["key"] = id;
+    row["key"] = server.id;
     row["value"] = value;
     Json::Value json;
     json["put"].append(row);
@@ -230,14 +235,28 @@
     control(json);
 }
 
-void EntryFleet::spoilAnswers(const std::string &id, int lose, int cut)
+void EntryFleet::spoilAnswers(const std::string &id, const std::string &how, int count)
 {
     Json::Value json;
-    json["loseAnswers"] = lose;
-    json["cutAnswers"] = cut;
+    json["spoilAnswers"][how] = count;
     m_http.post(server(id).address() + "/_control", json.toStyledString());
 }
 
+void EntryFleet::delayOrders(const std::string &id, int count, std::chrono::milliseconds delay)
+{
+    Json::Value json;
+    json["lateOrders"] = count;
+    json["lateMs"] = static_cast<Json::Int64>(delay.count());
+    m_http.post(server(id).address() + "/_control", json.toStyledString());
+}
+
+std::int64_t EntryFleet::counter(const std::string &host, const std::string &name)
+{
+    const std::string text = page(host, "/metrics");
+    const std::size_t place = ('\n' + text).find('\n' + name + ' ');
+    return place == std::string::npos ? -1 : std::stoll(text.substr(place + name.size() + 1));
+}
+
 SyncHttpResult EntryFleet::send(const std::string &host, const std::string &method,
                                 const std::string &path, std::optional<int> key,
                                 const std::string &body, int deadlineMs)
@@ -261,6 +280,11 @@
     return send(host, "GET", "/read/" + std::to_string(key), key);
 }
 
+std::string EntryFleet::lastRequestId() const
+{
+    return "r" + std::to_string(m_nextRequest - 1);
+}
+
 bool EntryFleet::servesKeys(const std::string &host, int count)
 {
     for (int i = 0; i < count; ++i) {
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -5,6 +5,7 @@
 
 #include <json/value.h>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -73,6 +74,9 @@
 
     /** Writes a server's record, or removes it. */
     void writeRecord(const std::string &id, const std::string &state);
+    /** Writes the record of a server that is not of this fleet. */
+    void writeRecordOf(const EntryServer &server, const std::string &address,
+                       const std::string &state = "ready");
     void removeRecord(const std::string &id);
 
     /** Writes the configuration, with further routes, as a new version. */
@@ -83,14 +87,23 @@
                        int delayWrites = 0);
     void dropHistory();
 
-    /** Has the server lose, or cut short, that many of its next answers. */
-    void spoilAnswers(const std::string &id, int lose, int cut);
+    /** Has the server spoil \a count of its next answers: "lose", "cut", "unframed", "twice". */
+    void spoilAnswers(const std::string &id, const std::string &how, int count);
+
+    /** Has the server leave \a count of the next grants and releases unanswered until later. */
+    void delayOrders(const std::string &id, int count, std::chrono::milliseconds delay);
+
+    /** \returns the value of the counter \a name of \a host's daemon, or -1 if it has none. */
+    std::int64_t counter(const std::string &host, const std::string &name);
 
     SyncHttpResult send(const std::string &host, const std::string &method, const std::string &path,
                         std::optional<int> key = std::nullopt, const std::string &body = {},
                         int deadlineMs = 4000);
     SyncHttpResult read(const std::string &host, int key);
 
+    /** \returns the id of the request that was sent last. */
+    std::string lastRequestId() const;
+
     /** \returns whether \a host serves \a count keys spread over all. */
     bool servesKeys(const std::string &host, int count = 16);
 
--- /dev/null
+++ b/tests/entryfleet/scriptedbackend.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "httpclient/scriptedserver.h"
+
+#include <asio/io_context.hpp>
+
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace bulrush::test {
+
+/** A ScriptedServer on a thread of its own, for tests that wait for other processes. */
+class ScriptedBackend
+{
+public:
+    /** The script runs on the backend's thread. */
+    explicit ScriptedBackend(ScriptedServer::Script script)
+        : m_server(m_loop, std::move(script))
+        , m_address(m_server.url(""))
+        , m_thread([this] { m_loop.run(); })
+    { }
+
+    ~ScriptedBackend()
+    {
+        m_loop.stop();
+        m_thread.join();
+    }
+
+    ScriptedBackend(const ScriptedBackend &) = delete;
+    ScriptedBackend &operator=(const ScriptedBackend &) = delete;
+
+    /** \returns `IP:PORT`. */
+    std::string address() const
+    {
+        return m_address.substr(std::string{"http://"}.size());
+    }
+
+private:
+    asio::io_context m_loop{1};
+    ScriptedServer m_server;
+    std::string m_address;
+    std::thread m_thread;
+};
+
+} // namespace bulrush::test
--- /dev/null
+++ b/tests/entryfleet/test_entryanswers.cpp
@@ -0,0 +1,209 @@
+#define BOOST_TEST_MODULE EntryAnswers
+
+#include "entryfleet/entryfleet.h"
+#include "entryfleet/scriptedbackend.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <mutex>
+#include <string>
+#include <thread>
+
+using namespace bulrush::test;
+using namespace std::chrono_literals;
+
+using Socket = ScriptedServer::Socket;
+
+namespace {
+
+constexpr const char *requestsSent = "bulrush_attempts_sent_total";
+
+struct ServingFleet : EntryFleet
+{
+    ServingFleet()
+        : EntryFleet({"a1", "b1"})
+    {
+        writeConfig();
+        startServers();
+        startDaemons();
+        awaitServing();
+    }
+};
+
+/** One daemon, and a scripted backend server as the only one of the service payments. */
+struct ScriptedFleet : EntryFleet
+{
+    explicit ScriptedFleet(ScriptedServer::Script script)
+        : EntryFleet({"a1"})
+        , backend(std::move(script))
+    {
+        writeConfig();
+        startServer({"c1", "catalogue", "a", true});
+        writeRecordOf({"p0", "payments", "a"}, backend.address());
+        startDaemons();
+        awaitServing();
+    }
+
+    ScriptedBackend backend;
+};
+
+/** \returns the request id that \a head bears. */
+std::string idOf(const std::string &head)
+{
+    const std::string field = "X-Bulrushswitch-Request-Id: ";
+    const std::size_t place = head.find(field);
+    if (place == std::string::npos)
+        return {};
+    const std::size_t start = place + field.size();
+    return head.substr(start, head.find('\r', start) - start);
+}
+
+std::string answerTo(const std::string &id, int status, const std::string &furtherFields,
+                     const std::string &body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Said\r\nX-Bulrushswitch-Request-Id: " + id
+        + "\r\n" + furtherFields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
+}
+
+/** \returns whether \a result is the answer to the request that bore the id \a id. */
+bool isOwnAnswer(const SyncHttpResult &result, const std::string &id)
+{
+    return result.status == 200 && result.header("X-Bulrushswitch-Request-Id") == id
+        && result.body.ends_with("request=" + id);
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(aSecondAnswerGoesToNobody, ServingFleet)
+{
+    for (const std::string id : {"p1", "p2"})
+        spoilAnswers(id, "twice", 30);
+    for (int i = 0; i < 60; ++i) {
+        const SyncHttpResult result = send("a1", "POST", "/pay/x", std::nullopt, "euro=1");
+        BOOST_TEST(isOwnAnswer(result, lastRequestId()), "request " << i << ": " << result.body);
+    }
+    const std::string owner = ownerOf("a1", 100);
+    spoilAnswers(owner, "twice", 30);
+    for (int i = 0; i < 60; ++i) {
+        const SyncHttpResult result = read("a1", 100);
+        BOOST_TEST(isOwnAnswer(result, lastRequestId()), "read " << i << ": " << result.body);
+    }
+    BOOST_TEST(repeatedRuns().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(anAnswerWithoutALengthIsWholeAtTheConnectionsEnd, ServingFleet)
+{
+    for (const std::string id : {"p1", "p2"})
+        spoilAnswers(id, "unframed", 10);
+    for (int i = 0; i < 20; ++i) {
+        const SyncHttpResult result = send("a1", "POST", "/pay/x", std::nullopt, "euro=1");
+        BOOST_TEST(isOwnAnswer(result, lastRequestId()), "request " << i << ": " << result.body);
+        BOOST_TEST(result.header("X-Bulrushswitch-Response-Stamp").has_value());
+    }
+    BOOST_TEST(repeatedRuns().empty());
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerWithoutALengthThatIsResetIsNotWhole)
+{
+    std::atomic<int> runs = 0;
+    ScriptedFleet fleet{[&runs](Socket &socket, int) -> asio::awaitable<void> {
+        std::string buffer;
+        const std::string head = co_await ScriptedServer::readHead(socket, buffer);
+        ++runs;
+        co_await ScriptedServer::write(socket,
+                                       "HTTP/1.1 200 OK\r\nX-Bulrushswitch-Request-Id: "
+                                           + idOf(head)
+                                           + "\r\nX-Bulrushswitch-Response-Stamp: s\r\n\r\nhalf");
+        std::this_thread::sleep_for(50ms);
+        ScriptedServer::reset(socket);
+    }};
+    BOOST_TEST(fleet.send("a1", "POST", "/pay/x", std::nullopt, "euro=1").status == 502);
+    BOOST_TEST(runs == 1);
+}
+
+BOOST_AUTO_TEST_CASE(anEarlyAnswerLeavesNoOtherBytesInThePlaceOfTheBody)
+{
+    // Longer than what fits on the way, so that the answer comes while the body is being sent.
+    const std::string body(24 << 20, 'b');
+    std::mutex mutex;
+    std::string afterAnswer;
+    std::atomic<int> connections = 0;
+    ScriptedFleet fleet{[&](Socket &socket, int) -> asio::awaitable<void> {
+        ++connections;
+        std::string buffer;
+        const std::string head = co_await ScriptedServer::readHead(socket, buffer);
+        co_await ScriptedServer::write(
+            socket, answerTo(idOf(head), 503, "X-Bulrushswitch-Not-Executed: 1\r\n", ""));
+        std::this_thread::sleep_for(100ms);
+        // Whatever comes from here on is taken for the rest of the body.
+        asio::error_code ignored;
+        co_await asio::async_read(socket, asio::dynamic_buffer(buffer),
+                                  asio::redirect_error(asio::use_awaitable, ignored));
+        const std::scoped_lock lock{mutex};
+        afterAnswer += buffer;
+    }};
+    BOOST_TEST(fleet.send("a1", "POST", "/upload/x", std::nullopt, body).status == 503);
+    BOOST_TEST(fleet.send("a1", "POST", "/pay/x", std::nullopt, "euro=1").status == 503);
+    BOOST_TEST(connections >= 2);
+    BOOST_TEST(fleet.daemon("a1").terminate().code.value_or(-1) == 0);
+    const std::scoped_lock lock{mutex};
+    BOOST_TEST(afterAnswer.find("POST") == std::string::npos);
+    BOOST_TEST(afterAnswer.find("X-Bulrushswitch") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerToAnotherRequestIsNotPassedOn)
+{
+    ScriptedFleet fleet{[](Socket &socket, int) -> asio::awaitable<void> {
+        std::string buffer;
+        for (;;) {
+            const std::string head = co_await ScriptedServer::readHead(socket, buffer);
+            const std::string stamp = "X-Bulrushswitch-Response-Stamp: s\r\n";
+            co_await ScriptedServer::write(socket,
+                                           answerTo("somebody-elses", 200, stamp, "not yours")
+                                               + answerTo(idOf(head), 200, stamp, "yours"));
+        }
+    }};
+    for (int i = 0; i < 5; ++i) {
+        const SyncHttpResult result = fleet.send("a1", "GET", "/pay/x");
+        BOOST_TEST(result.status == 200);
+        BOOST_TEST(result.body == "yours");
+    }
+    BOOST_TEST(fleet.counter("a1", requestsSent) >= 5);
+}
+
+BOOST_AUTO_TEST_CASE(bytesThatAreNoAnswerEndInAnHonestUnknown)
+{
+    ScriptedFleet fleet{[](Socket &socket, int) -> asio::awaitable<void> {
+        std::string buffer;
+        co_await ScriptedServer::readHead(socket, buffer);
+        co_await ScriptedServer::write(socket, "this is no answer at all\r\n\r\n");
+        co_await ScriptedServer::drain(socket);
+    }};
+    const SyncHttpResult result = fleet.send("a1", "POST", "/pay/x", std::nullopt, "euro=1");
+    BOOST_TEST(result.status == 502);
+    BOOST_TEST(result.body.find("this is no answer") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatNeverAnswersHoldsNoOtherRequestBack)
+{
+    std::atomic<int> heads = 0;
+    ScriptedFleet fleet{[&heads](Socket &socket, int connection) -> asio::awaitable<void> {
+        std::string buffer;
+        for (;;) {
+            const std::string head = co_await ScriptedServer::readHead(socket, buffer);
+            ++heads;
+            if (connection == 0)
+                co_await ScriptedServer::drain(socket);
+            co_await ScriptedServer::write(
+                socket,
+                answerTo(idOf(head), 200, "X-Bulrushswitch-Response-Stamp: s\r\n", "yours"));
+        }
+    }};
+    const SyncHttpResult silent = fleet.send("a1", "POST", "/pay/x", std::nullopt, "euro=1", 600);
+    BOOST_TEST(silent.status == 504);
+    BOOST_TEST(fleet.send("a1", "POST", "/pay/x", std::nullopt, "euro=1").status == 200);
+    BOOST_TEST(heads == 2);
+}
--- a/tests/entryfleet/test_entrykeys.cpp
+++ b/tests/entryfleet/test_entrykeys.cpp
@@ -155,6 +155,24 @@
     BOOST_TEST(firstOverlap() == "");
 }
 
+BOOST_FIXTURE_TEST_CASE(ordersThatAreCarriedOutLateChangeNoOwner, ServingFleet)
+{
+    const std::string owner = ownerOf("a1", 0);
+    // Its release and renewals on the way get no answer, and come to effect after the move.
+    delayOrders(owner, 12, 4000ms);
+    writeRecord(owner, "draining");
+    BOOST_TEST(eventually([&] {
+        const std::string now = ownerOf("b1", 0);
+        return !now.empty() && now != owner;
+    }));
+    // Up to when the last of the late orders has been carried out, and its hold is over.
+    const auto end = std::chrono::steady_clock::now() + 8s;
+    while (std::chrono::steady_clock::now() < end)
+        BOOST_TEST(failuresFor(500ms, "a1") == 0);
+    BOOST_TEST(ownerOf("a1", 0) != owner);
+    BOOST_TEST(firstOverlap() == "");
+}
+
 BOOST_FIXTURE_TEST_CASE(allDaemonsKilledAtOnceFindTheKeysWhereTheyAre, ServingFleet)
 {
     const std::string owner = ownerOf("a1", 0);
--- a/tests/entryfleet/test_entryrequests.cpp
+++ b/tests/entryfleet/test_entryrequests.cpp
@@ -56,10 +56,10 @@
 BOOST_FIXTURE_TEST_CASE(aRequestThatRunsOnceIsNotSentAgainWhenItsAnswerIsLost, ServingFleet)
 {
     for (const std::string id : {"p1", "p2"})
-        spoilAnswers(id, 1, 0);
+        spoilAnswers(id, "lose", 1);
     BOOST_TEST(send("a1", "POST", "/pay/x", std::nullopt, "euro=120").status == 502);
     for (const std::string id : {"p1", "p2"})
-        spoilAnswers(id, 0, 1);
+        spoilAnswers(id, "cut", 1);
     BOOST_TEST(send("a1", "POST", "/pay/x", std::nullopt, "euro=120").status == 502);
     BOOST_TEST(repeatedRuns().empty());
 }
@@ -70,9 +70,9 @@
     BOOST_REQUIRE(!owner.empty());
     for (int i = 0; i < 40; ++i)
         read("a1", 100); // earns the budget of repeats
-    spoilAnswers(owner, 1, 0);
+    spoilAnswers(owner, "lose", 1);
     BOOST_TEST(read("a1", 100).status == 200);
-    spoilAnswers(owner, 0, 1);
+    spoilAnswers(owner, "cut", 1);
     BOOST_TEST(read("a1", 100).status == 200);
     BOOST_TEST(repeatedRuns().size() == 2U);
 }
--- a/tests/standinprocess/childprocess.cpp
+++ b/tests/standinprocess/childprocess.cpp
@@ -8,6 +8,8 @@
 
 #include <array>
 #include <csignal>
+#include <cstdlib>
+#include <fstream>
 #include <stdexcept>
 #include <system_error>
 
@@ -19,6 +21,8 @@
 
 constexpr std::string_view listeningWord = "listening ";
 constexpr std::string_view readyWord = "ready";
+/** Names a folder in which what processes print is kept, to explain a failed test. */
+constexpr const char *outputFolderVariable = "BULRUSH_TEST_OUTPUT";
 constexpr std::chrono::milliseconds pollStep{5};
 
 std::vector<char *> pointersTo(std::vector<std::string> &words)
@@ -34,6 +38,7 @@
 
 ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
                            std::chrono::seconds limit)
+    : m_name(program.substr(program.rfind('/') + 1))
 {
     spawn(program, arguments);
     try {
@@ -172,10 +177,17 @@
 
 void ChildProcess::drainOutput() const
 {
+    std::ofstream kept;
+    if (const char *folder = std::getenv(outputFolderVariable))
+        kept.open(std::string{folder} + '/' + m_name + '-' + std::to_string(m_pid) + ".log");
+    kept << m_unread;
     std::array<char, 4096> buffer{};
     ssize_t length = 1;
-    while (length > 0)
+    while (length > 0) {
         length = ::read(m_output, buffer.data(), buffer.size());
+        if (length > 0 && kept.is_open())
+            kept.write(buffer.data(), length).flush();
+    }
 }
 
 ChildProcess::Exit ChildProcess::waitForEnd()
--- a/tests/standinprocess/childprocess.h
+++ b/tests/standinprocess/childprocess.h
@@ -75,6 +75,8 @@
     Exit waitForEnd();
     void note(int status);
 
+    /** Of the program, without its folder. */
+    std::string m_name;
     pid_t m_pid = -1;
     int m_output = -1;
     std::string m_unread;
--- a/tests/standins/http/listener.cpp
+++ b/tests/standins/http/listener.cpp
@@ -1,6 +1,7 @@
 #include "http/listener.h"
 
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <restinio/impl/connection.hpp>
 #include <restinio/message_builders.hpp>
@@ -43,16 +44,31 @@
     }
 }
 
-std::string rawHead(const Answer &answer)
+/** \returns the bytes of the head of \a answer, with \a firstFields before its own fields. */
+std::string rawHead(const Answer &answer, const std::vector<HeaderField> &firstFields)
 {
     std::string head = "HTTP/1.1 " + std::to_string(answer.status) + " ";
     head += reasonPhrase(answer.status);
-    head += "\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n";
-    for (const HeaderField &field : answer.headers)
-        head += field.name + ": " + field.value + "\r\n";
+    head += "\r\n";
+    for (const std::vector<HeaderField> &fields : {firstFields, answer.headers}) {
+        for (const HeaderField &field : fields)
+            head += field.name + ": " + field.value + "\r\n";
+    }
     return head + "\r\n";
 }
 
+std::string rawFramedHead(const Answer &answer)
+{
+    return rawHead(answer, {{"Content-Length", std::to_string(answer.body.size())}});
+}
+
+void writeWhole(asio::ip::tcp::socket &socket, const std::string &bytes)
+{
+    asio::error_code ignored;
+    socket.non_blocking(false, ignored);
+    asio::write(socket, asio::buffer(bytes), ignored);
+}
+
 std::uint16_t parsedPort(std::string_view text)
 {
     std::uint16_t port = 0;
@@ -145,14 +161,38 @@
 void Listener::sendCut(const RequestHandle &request, const Answer &answer)
 {
     withSocket(request, [answer](asio::ip::tcp::socket &socket) {
-        const std::string_view body = answer.body;
-        const std::string part = rawHead(answer) + std::string{body.substr(0, body.size() / 2)};
-        asio::error_code ignored;
-        socket.non_blocking(false, ignored);
-        asio::write(socket, asio::buffer(part), ignored);
+        writeWhole(socket, rawFramedHead(answer) + answer.body.substr(0, answer.body.size() / 2));
     });
 }
 
+void Listener::sendUnframed(const RequestHandle &request, const Answer &answer)
+{
+    withSocket(request, [answer](asio::ip::tcp::socket &socket) {
+        writeWhole(socket, rawHead(answer, {{"Connection", "close"}}) + answer.body);
+    });
+}
+
+void Listener::sendTwice(const RequestHandle &request, const Answer &answer,
+                         std::chrono::milliseconds delay)
+{
+    using Builder = restinio::response_builder_t<restinio::user_controlled_output_t>;
+    auto response = std::make_shared<Builder>(
+        request->create_response<restinio::user_controlled_output_t>(restinio::http_status_line_t{
+            restinio::http_status_code_t{static_cast<std::uint16_t>(answer.status)},
+            std::string{reasonPhrase(answer.status)}}));
+    for (const HeaderField &field : answer.headers)
+        response->append_header(field.name, field.value);
+    response->set_content_length(answer.body.size());
+    response->append_body(answer.body);
+    response->flush();
+    auto timer = std::make_shared<asio::steady_timer>(m_loop, delay);
+    timer->async_wait(
+        [timer, response, again = rawFramedHead(answer) + answer.body](const asio::error_code &) {
+            response->append_body(again);
+            response->done();
+        });
+}
+
 void Listener::withSocket(const RequestHandle &request,
                           std::function<void(asio::ip::tcp::socket &)> action)
 {
--- a/tests/standins/http/listener.h
+++ b/tests/standins/http/listener.h
@@ -83,6 +83,13 @@
     /** Announces the whole body of \a answer, sends half of it and closes the connection. */
     void sendCut(const RequestHandle &request, const Answer &answer);
 
+    /** Sends \a answer without the length of its body, which the connection's end tells. */
+    void sendUnframed(const RequestHandle &request, const Answer &answer);
+
+    /** Sends \a answer whole, and the same bytes once more after \a delay; keeps the connection. */
+    void sendTwice(const RequestHandle &request, const Answer &answer,
+                   std::chrono::milliseconds delay);
+
 private:
     struct Traits : restinio::default_single_thread_traits_t
     {
--- a/tests/standins/keyed/keyedserver.cpp
+++ b/tests/standins/keyed/keyedserver.cpp
@@ -42,6 +42,21 @@
     return key;
 }
 
+/** How late the second of two answers comes: into the next use of a connection that is busy. */
+constexpr std::chrono::milliseconds secondAnswerDelay{30};
+
+std::optional<AnswerSpoil> spoilOf(const std::string &name)
+{
+    static const std::map<std::string, AnswerSpoil> spoils = {
+        {"lose", AnswerSpoil::Lose},
+        {"cut", AnswerSpoil::Cut},
+        {"unframed", AnswerSpoil::Unframed},
+        {"twice", AnswerSpoil::Twice},
+    };
+    const auto found = spoils.find(name);
+    return found == spoils.end() ? std::nullopt : std::optional{found->second};
+}
+
 KeyRange rangeOf(const Json::Value &json)
 {
     return {json["from"].asUInt(), json["target"].asUInt()};
@@ -100,9 +115,14 @@
     }
     const auto hold = std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>{(*json)["holdS"].asDouble()});
+    const KeyRange range = rangeOf(*json);
+    const std::uint64_t fence = (*json)["fence"].asUInt64();
     const Instant arrivedAt = now();
-    const bool isTaken =
-        m_leases.grant(rangeOf(*json), (*json)["fence"].asUInt64(), hold, arrivedAt, arrivedAt);
+    if (isLate()) {
+        carryOutLate(request, [=, this] { m_leases.grant(range, fence, hold, arrivedAt, now()); });
+        return;
+    }
+    const bool isTaken = m_leases.grant(range, fence, hold, arrivedAt, arrivedAt);
     Listener::send(request, {isTaken ? 200 : 409, {}, {}});
 }
 
@@ -113,11 +133,33 @@
         Listener::send(request, {400, {}, {}});
         return;
     }
-    m_leases.release(rangeOf(*json), (*json)["fence"].asUInt64());
-    m_releasing.push_back({request, rangeOf(*json)});
+    const KeyRange range = rangeOf(*json);
+    const std::uint64_t fence = (*json)["fence"].asUInt64();
+    if (isLate()) {
+        carryOutLate(request, [=, this] { m_leases.release(range, fence); });
+        return;
+    }
+    m_leases.release(range, fence);
+    m_releasing.push_back({request, range});
     answerReleases();
 }
 
+bool KeyedServer::isLate()
+{
+    if (m_lateOrders == 0)
+        return false;
+    --m_lateOrders;
+    return true;
+}
+
+/** Keeps the connection of \a request open without an answer, and runs \a order later. */
+void KeyedServer::carryOutLate(const RequestHandle &request, std::function<void()> order)
+{
+    m_hung.push_back(request);
+    auto timer = std::make_shared<asio::steady_timer>(m_loop, m_lateBy);
+    timer->async_wait([timer, order = std::move(order)](const asio::error_code &) { order(); });
+}
+
 void KeyedServer::answerReleases()
 {
     for (auto place = m_releasing.begin(); place != m_releasing.end();) {
@@ -190,17 +232,37 @@
     Answer answer{200, fields(work.requestId), {}};
     answer.headers.push_back({"X-Bulrushswitch-Response-Stamp", "stamp." + work.requestId});
     answer.body = "server=" + m_settings.id + " request=" + work.requestId;
-    if (m_answersToLose > 0) {
-        --m_answersToLose;
+    const std::optional<AnswerSpoil> spoil = nextSpoil();
+    if (!spoil) {
+        Listener::send(work.request, answer);
+        return;
+    }
+    switch (*spoil) {
+    case AnswerSpoil::Lose:
         m_listener->closeUnanswered(work.request);
-    } else if (m_answersToCut > 0) {
-        --m_answersToCut;
+        break;
+    case AnswerSpoil::Cut:
         m_listener->sendCut(work.request, answer);
-    } else {
-        Listener::send(work.request, answer);
+        break;
+    case AnswerSpoil::Unframed:
+        m_listener->sendUnframed(work.request, answer);
+        break;
+    case AnswerSpoil::Twice:
+        m_listener->sendTwice(work.request, answer, secondAnswerDelay);
+        break;
     }
 }
 
+std::optional<AnswerSpoil> KeyedServer::nextSpoil()
+{
+    const auto due =
+        std::ranges::find_if(m_spoils, [](const auto &entry) { return entry.second > 0; });
+    if (due == m_spoils.end())
+        return std::nullopt;
+    --due->second;
+    return due->first;
+}
+
 std::vector<HeaderField> KeyedServer::fields(const std::string &requestId) const
 {
     const std::string load = std::to_string(m_running.size()) + ',' + std::to_string(m_queue.size())
@@ -210,13 +272,23 @@
 
 void KeyedServer::control(const RequestHandle &request)
 {
-    if (const auto json = parsedObject(request->body())) {
-        m_answersToLose = (*json)["loseAnswers"].asInt();
-        m_answersToCut = (*json)["cutAnswers"].asInt();
-    }
+    if (const auto json = parsedObject(request->body()))
+        setWrongs(*json);
     Listener::send(request, {200, {{"Content-Type", "application/json"}}, printed(runs())});
 }
 
+void KeyedServer::setWrongs(const Json::Value &json)
+{
+    const Json::Value &spoils = json["spoilAnswers"];
+    m_spoils.clear();
+    for (const std::string &name : spoils.getMemberNames()) {
+        if (const auto spoil = spoilOf(name))
+            m_spoils[*spoil] = spoils[name].asInt();
+    }
+    m_lateOrders = json["lateOrders"].asInt();
+    m_lateBy = std::chrono::milliseconds{json["lateMs"].asInt()};
+}
+
 Json::Value KeyedServer::runs() const
 {
     Json::Value list{Json::arrayValue};
--- a/tests/standins/keyed/keyedserver.h
+++ b/tests/standins/keyed/keyedserver.h
@@ -9,7 +9,9 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,10 +36,19 @@
     bool hangsWhenFull = false;
 };
 
+/** How a keyed server spoils answers to work that it did. */
+enum class AnswerSpoil {
+    Lose,     ///< the connection ends without an answer
+    Cut,      ///< the connection ends in the middle of the body
+    Unframed, ///< the answer has no length and ends with its connection
+    Twice,    ///< the same answer comes again later, on a connection that is kept
+};
+
 /**
  * A backend server of the users' platform: runs requests in slots, with a queue, each under its id;
  * takes grants of keys with fences, and gives them up when their work has ended. `GET /_control`
- * lists what it ran, `POST /_control` sets wrong answers.
+ * lists what it ran; `POST /_control` sets how many answers are spoiled in which way, and how many
+ * orders are left unanswered and carried out late.
  *
  * Not thread safe: lives on the loop's thread.
  */
@@ -76,13 +87,17 @@
     void serve(const RequestHandle &request);
     void grant(const RequestHandle &request);
     void release(const RequestHandle &request);
+    bool isLate();
+    void carryOutLate(const RequestHandle &request, std::function<void()> order);
     void answerReleases();
     void take(const RequestHandle &request);
     void start(Work work);
     void finished(std::list<Work>::iterator place);
     void answer(const Work &work);
     bool isForOther(const RequestHandle &request) const;
+    std::optional<AnswerSpoil> nextSpoil();
     void control(const RequestHandle &request);
+    void setWrongs(const Json::Value &json);
     Json::Value runs() const;
     std::vector<HeaderField> fields(const std::string &requestId) const;
 
@@ -94,8 +109,11 @@
     std::vector<RequestHandle> m_hung;
     std::list<Releasing> m_releasing;
     std::vector<Run> m_runs;
-    int m_answersToLose = 0;
-    int m_answersToCut = 0;
+    /** How many of the next answers are spoiled in which way. */
+    std::map<AnswerSpoil, int> m_spoils;
+    /** How many of the next orders are left unanswered, and when they are carried out. */
+    int m_lateOrders = 0;
+    std::chrono::milliseconds m_lateBy{0};
     std::unique_ptr<Listener> m_listener;
 };
 
