Reset connections whose calls are given up, and count holds from a grant's arrival

Besides, a hold counted from the sending of a grant plus 0.25 s, although a call could last 0.9 s and a hold counts from arrival. Ruled out: an assignment that went back (sequences rise by one each). Change: every close is a reset, also by the system when the process ends; bytes of orders unacknowledged for 0.5 s end the connection; a grant's call lasts 0.5 s. GrantLog tells by when a grant came at the latest.

--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -22,7 +22,7 @@
     , m_lease(self.incarnation, self.address, self.patience)
     , m_renewal(self.domain, timings)
     , m_renewers(timings)
-    , m_grants(start)
+    , m_grants(start, timings.grantCall)
 { }
 
 void KeyCoordinator::plannerRowSeen(std::uint64_t version, const PlannerRow &row, Instant now)
@@ -89,9 +89,9 @@
     m_grants.sent(grant.owned.owner, now);
 }
 
-void KeyCoordinator::grantEnded(const SendGrant &grant, bool canHaveCome)
+void KeyCoordinator::grantEnded(const SendGrant &grant, bool canHaveCome, Instant now)
 {
-    m_grants.ended(grant.owned.owner, canHaveCome);
+    m_grants.ended(grant.owned.owner, canHaveCome, now);
 }
 
 void KeyCoordinator::daemonRowWritten(const HostName &host, RowWriteEnd end, std::uint64_t version)
--- a/src/libbulrush/process/keycoordinator.h
+++ b/src/libbulrush/process/keycoordinator.h
@@ -93,7 +93,7 @@
     void grantSent(const SendGrant &grant, Instant now);
 
     /** Notes the end of \a grant, and whether it can have come to its server. */
-    void grantEnded(const SendGrant &grant, bool canHaveCome);
+    void grantEnded(const SendGrant &grant, bool canHaveCome, Instant now);
 
     /** Takes in the end of a WriteDaemonRow of \a host. */
     void daemonRowWritten(const HostName &host, RowWriteEnd end, std::uint64_t version);
--- a/src/libbulrush/process/keytimings.h
+++ b/src/libbulrush/process/keytimings.h
@@ -22,19 +22,26 @@
     std::int64_t slowClockPpm = 20'000;
     /** A feed of the store may miss what changes for a second before it is cut off. */
     Duration feedDeafness = std::chrono::milliseconds{1000};
-    /** What a grant may take on its way. */
+    /**
+     * The call of a grant is given up after this and its connection reset, so that nothing of it
+     * comes to the server later. Servers answer in milliseconds; a lost packet takes 200 ms.
+     */
+    Duration grantCall = std::chrono::milliseconds{500};
+    /** How much later than its call ended a grant may come that was on the link already. */
     Duration transit = std::chrono::milliseconds{250};
 
-    /** \returns for how long a daemon that missed a commit may still send grants after it. */
+    /**
+     * \returns for how long after a commit the calls of grants by a daemon that missed it can last.
+     */
     Duration silence() const;
 
-    /** \returns for how long after a grant was sent a server can hold its keys at most. */
+    /** \returns for how long after the call of a grant ended a server can hold its keys at most. */
     Duration holdAtMost() const;
 };
 
 inline Duration KeyTimings::silence() const
 {
-    return renewalRight + feedDeafness;
+    return renewalRight + feedDeafness + grantCall;
 }
 
 inline Duration KeyTimings::holdAtMost() const
--- a/src/libbulrush/process/renewerbook.h
+++ b/src/libbulrush/process/renewerbook.h
@@ -45,8 +45,9 @@
     /** Of the assignment that it goes by from now on. */
     std::uint64_t sequence = 0;
     /**
-     * How long ago the last grant was sent to each server that can have come there; at most since
-     * this daemon's start, as earlier runs on its host may have sent one until then.
+     * How long ago the last grant to each server came there at the latest; negative while one may
+     * still come. At most since this daemon's start, as earlier runs on its host may have sent one
+     * until then.
      */
     std::map<ServerName, Duration> lastGrantAgo;
 };
@@ -105,7 +106,7 @@
     {
         Incarnation incarnation;
         std::uint64_t sequence = 0;
-        /** Never earlier than the last grant that can have come to the server. */
+        /** Never earlier than the last grant came to the server. */
         std::map<ServerName, Instant> lastGrant;
     };
 
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -280,7 +280,8 @@
     const SendGrant grant = queue.front();
     queue.erase(queue.begin());
     io::ServerCall call = platform::grantCall(address, grant.owned, KeyTimings{}.hold);
-    call.timeout = grantTimeout;
+    call.timeout = KeyTimings{}.grantCall;
+    call.acknowledgeWithin = KeyTimings{}.grantCall;
     m_coordinator.grantSent(grant, now);
     m_parts.servers.send(std::move(call), [this, grant](const io::HttpResult &result) {
         granted(grant, result);
@@ -293,7 +294,7 @@
     const platform::GrantAnswer answer = platform::grantAnswerOf(result);
     const bool isReplaced = answer == platform::GrantAnswer::Replaced;
     const bool hasCome = result.stage != io::TransferStage::NotConnected && !isReplaced;
-    m_coordinator.grantEnded(grant, hasCome);
+    m_coordinator.grantEnded(grant, hasCome, io::hostNow());
     logGrant(grant, answer);
     // Its record lapses later; its keys need not wait for that.
     if (isReplaced)
@@ -305,6 +306,7 @@
     io::ServerCall call = platform::releaseCall(action.address, action.owned.previous,
                                                 action.owned.range, action.owned.fence);
     call.timeout = releaseTimeout;
+    call.acknowledgeWithin = KeyTimings{}.grantCall;
     m_parts.servers.send(std::move(call), [this, action](const io::HttpResult &result) {
         released(action, result);
     });
--- a/src/libbulrushentry/keycontrol.h
+++ b/src/libbulrushentry/keycontrol.h
@@ -22,8 +22,7 @@
 class KeyControl
 {
 public:
-    /** For the call of a grant or a release; a release waits for work that runs. */
-    static constexpr Duration grantTimeout = std::chrono::milliseconds{900};
+    /** For the call of a release, which waits for work that runs. */
     static constexpr Duration releaseTimeout = std::chrono::milliseconds{2500};
 
     struct Parts
--- a/src/libbulrushio/connection/servercall.h
+++ b/src/libbulrushio/connection/servercall.h
@@ -25,6 +25,8 @@
     Duration connectTimeout = std::chrono::milliseconds{400};
     /** From the start to the end of the answer. */
     Duration timeout = std::chrono::seconds{1};
+    /** Bytes that the server's host has not acknowledged by then end the connection. */
+    Duration acknowledgeWithin = std::chrono::milliseconds{2500};
     /**
      * The field of the request that its answer repeats. Answers with another value belong to
      * other requests and are dropped. Empty if answers repeat nothing.
--- a/src/libbulrushio/connection/serverconnection.cpp
+++ b/src/libbulrushio/connection/serverconnection.cpp
@@ -28,9 +28,6 @@
 /** A silent connection is probed after this, and given up after as much again. */
 constexpr int probeSeconds = 1;
 constexpr int probeCount = 2;
-/** Unacknowledged bytes end a connection after this: the peer is gone or cut off. */
-constexpr int unacknowledgedMs = 2500;
-
 template<typename Value>
 void setSocketOption(asio::ip::tcp::socket &socket, int level, int name, Value value)
 {
@@ -126,7 +123,13 @@
 {
     asio::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
-    setSocketOption(m_socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMs);
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const auto unacknowledged = duration_cast<milliseconds>(m_call.acknowledgeWithin).count();
+    setSocketOption(m_socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(unacknowledged));
+    // Every close is a reset, also by the system when the process ends: bytes that a cut held up
+    // must not reach the server after their call was given up.
+    m_socket.set_option(asio::socket_base::linger{true, 0}, ignored);
     if (!m_call.isProbed)
         return;
     setSocketOption(m_socket, SOL_SOCKET, SO_KEEPALIVE, 1);
--- a/tests/keydecisions/test_renewerbook.cpp
+++ b/tests/keydecisions/test_renewerbook.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 const Instant start{100s};
+constexpr Duration longestCall = 500ms;
 const ServiceName service{"s"};
 const ServerName lost{"lost"};
 const HostName one{"one"};
@@ -98,17 +99,27 @@
 
 BOOST_AUTO_TEST_CASE(grantsThatFoundNoConnectionDidNotCome)
 {
-    GrantLog log{start};
+    GrantLog log{start, longestCall};
     log.sent(lost, start + 1s);
-    log.ended(lost, true);
+    log.ended(lost, true, start + 1020ms);
     log.sent(lost, start + 3s);
-    BOOST_TEST((log.lastAgo(lost, start + 4s) == 1s));
-    log.ended(lost, false);
-    BOOST_TEST((log.lastAgo(lost, start + 4s) == 3s));
+    // It may come as long as its call lasts.
+    BOOST_TEST((log.lastAgo(lost, start + 3100ms) == -400ms));
+    log.ended(lost, false, start + 3200ms);
+    BOOST_TEST((log.lastAgo(lost, start + 4s) == 2980ms));
+}
+
+BOOST_AUTO_TEST_CASE(aGrantWithoutAnswerMayHaveComeUpToTheEndOfItsCall)
+{
+    GrantLog log{start, longestCall};
+    log.sent(lost, start + 1s);
+    // The daemon was frozen, and hears of the end of the call late.
+    log.ended(lost, true, start + 9s);
+    BOOST_TEST((log.lastAgo(lost, start + 10s) == 8500ms));
 }
 
 BOOST_AUTO_TEST_CASE(anEarlierRunMayHaveGrantedUntilTheStart)
 {
-    const GrantLog log{start};
+    const GrantLog log{start, longestCall};
     BOOST_TEST((log.lastAgo(lost, start + 4s) == 4s));
 }
--- a/tests/keyworld/keyworld.cpp
+++ b/tests/keyworld/keyworld.cpp
@@ -277,30 +277,42 @@
             if (isChecked && !daemon.coordinator->isStillDue(action, m_now))
                 return;
             daemon.coordinator->grantSent(action, m_now);
-            Server *server = serverOf(action.owned.owner);
-            const bool isReached = server && reaches(daemon, *server);
-            const bool isLost = happens(m_hasFaults ? 0.02 : 0.0);
-            // A call that finds no connection can't have come; any other may have.
-            const bool canHaveCome = isReached || happens(0.3);
-            after(1ms * oneOf(900), [this, index, life, action, canHaveCome] {
-                toDaemon(index, life, [this, index, action, canHaveCome] {
-                    m_daemons[index]->coordinator->grantEnded(action, canHaveCome);
-                });
-            });
-            if (!isReached || isLost)
-                return;
-            const ServerName name = server->name;
-            after(transit(), [this, action, name] {
-                const Instant arrivedAt = m_now;
-                const Duration late =
-                    m_hasFaults && happens(0.05) ? Duration{2s + 1ms * oneOf(10'000)} : Duration{};
-                after(late, [this, action, name, arrivedAt] {
-                    Server *target = serverOf(name);
-                    if (target && target->isUp)
-                        target->leases.grant(action.owned.range, action.owned.fence,
-                                             KeyTimings{}.hold, arrivedAt, m_now);
-                });
-            });
+            sendGrant(index, life, action);
+        });
+    });
+}
+
+/** The call of a grant: it is answered, or given up and its connection reset. */
+void KeyWorld::sendGrant(std::size_t index, std::uint64_t life, const SendGrant &action)
+{
+    const Duration longest = KeyTimings{}.grantCall;
+    Server *server = serverOf(action.owned.owner);
+    const bool isReached = server && reaches(*m_daemons[index], *server);
+    // A cut holds bytes up until it is over.
+    const bool isHeldUp = m_hasFaults && happens(0.05);
+    const Duration way = isHeldUp ? Duration{1ms * oneOf(6000)} : transit();
+    const bool isLate = m_hasFaults && happens(0.05);
+    const bool comes = isReached && !(m_hasFaults && happens(0.02))
+        && (way < longest || m_planted == Planted::HeldUpBytesCome);
+    // A call that finds no connection can't have come; any other may have.
+    const bool canHaveCome = isReached || happens(0.3);
+    const Duration answered = way + transit();
+    const bool isAnswered = comes && !isLate && answered < longest;
+    after(isAnswered ? answered : longest, [this, index, life, action, canHaveCome] {
+        toDaemon(index, life, [this, index, action, canHaveCome] {
+            m_daemons[index]->coordinator->grantEnded(action, canHaveCome, m_now);
+        });
+    });
+    if (!comes)
+        return;
+    const Duration late = isLate ? Duration{2s + 1ms * oneOf(10'000)} : Duration{};
+    after(way, [this, action, name = server->name, late] {
+        const Instant arrivedAt = m_now;
+        after(late, [this, action, name, arrivedAt] {
+            Server *target = serverOf(name);
+            if (target && target->isUp)
+                target->leases.grant(action.owned.range, action.owned.fence, KeyTimings{}.hold,
+                                     arrivedAt, m_now);
         });
     });
 }
--- a/tests/keyworld/keyworld.h
+++ b/tests/keyworld/keyworld.h
@@ -22,6 +22,7 @@
     HoldFromAnswer,      ///< the right to renew counts from the store's answer
     NoLookAfterThaw,     ///< what was queued before a freeze is sent after it unchecked
     ForgetsItsGrants,    ///< daemons say that they sent no grants lately
+    HeldUpBytesCome,     ///< a grant that a cut held up comes although its call was given up
     FenceStays,          ///< a new owner is granted under the old fence
 };
 
@@ -73,6 +74,7 @@
     void act(std::size_t index, const WritePlannerRow &action);
     void act(std::size_t index, const CommitKeyAssignment &action);
     void act(std::size_t index, const SendGrant &action);
+    void sendGrant(std::size_t index, std::uint64_t life, const SendGrant &action);
     void act(std::size_t index, const SendRelease &action);
     void act(std::size_t index, const AskRenewer &action);
     void act(std::size_t index, const WriteDaemonRow &action);
--- a/tests/keyworld/test_keyworld.cpp
+++ b/tests/keyworld/test_keyworld.cpp
@@ -43,6 +43,7 @@
     PlantedBug{Planted::NoLookAfterThaw, "no look at the clock after a thaw"},
     PlantedBug{Planted::ForgetsItsGrants, "a daemon forgets its grants"},
     PlantedBug{Planted::FenceStays, "fence stays"},
+    PlantedBug{Planted::HeldUpBytesCome, "held up bytes come"},
 };
 
 std::optional<std::uint64_t> firstBroken(Planted planted, std::uint64_t count)
--- a/tests/serverclient/test_serverclient.cpp
+++ b/tests/serverclient/test_serverclient.cpp
@@ -258,3 +258,30 @@
     settle();
     BOOST_TEST(!send(call(server, "two")).error);
 }
+
+BOOST_FIXTURE_TEST_CASE(aCallThatIsGivenUpResetsItsConnection, Fixture)
+{
+    // What a cut of the network held up would otherwise come after the end of the cut.
+    std::optional<asio::error_code> seen;
+    ScriptedServer server{loop, [&](Socket &socket, int) -> asio::awaitable<void> {
+                              std::string buffer;
+                              co_await ScriptedServer::readHead(socket, buffer);
+                              asio::error_code end;
+                              co_await asio::async_read(
+                                  socket, asio::dynamic_buffer(buffer),
+                                  asio::redirect_error(asio::use_awaitable, end));
+                              seen = end;
+                          }};
+    ServerCall late = call(server, "late");
+    late.timeout = 30ms;
+    BOOST_TEST(send(std::move(late)).error == TransportError::TimedOut);
+    run([&] { return seen.has_value(); });
+    BOOST_TEST(*seen == asio::error::connection_reset);
+
+    seen.reset();
+    const ServerClient::CallId id = client.send(call(server, "left"), [](const HttpResult &) {});
+    settle();
+    client.cancel(id);
+    run([&] { return seen.has_value(); });
+    BOOST_TEST(*seen == asio::error::connection_reset);
+}
