--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -1,5 +1,7 @@
 #include "entryfleet/entryfleet.h"
 
+#include <json/reader.h>
+
 #include <unistd.h>
 
 #include <algorithm>
@@ -10,6 +12,7 @@
 #include <fstream>
 #include <limits>
 #include <set>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -207,15 +210,25 @@
     config["limits"]["headerTimeoutS"] = 3;
     config["limits"]["idleTimeoutS"] = 15;
     config["hosts"].append(host);
+    writeRawConfig(config.toStyledString());
+}
+
+void EntryFleet::writeRawConfig(const std::string &text)
+{
     Json::Value row;
     row["table"] = "op";
     row["key"] = "config";
-    row["value"] = config;
+    std::istringstream{text} >> row["value"];
     Json::Value json;
     json["put"].append(row);
     control(json);
 }
 
+int EntryFleet::configVersion() const
+{
+    return m_version;
+}
+
 void EntryFleet::setStoreFault(const std::string &host, const std::string &mode, int loseAnswers,
                                int delayWrites)
 {
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -82,6 +82,12 @@
     /** Writes the configuration, with further routes, as a new version. */
     void writeConfig(const std::vector<std::string> &furtherPrefixes = {});
 
+    /** Writes \a text, which is JSON, in the place of the configuration. */
+    void writeRawConfig(const std::string &text);
+
+    /** \returns the version that was written last. */
+    int configVersion() const;
+
     /** Sets the faults of the store towards \a host, or "*". */
     void setStoreFault(const std::string &host, const std::string &mode, int loseAnswers = 0,
                        int delayWrites = 0);
--- /dev/null
+++ b/tests/entryfleet/test_entryconfig.cpp
@@ -0,0 +1,93 @@
+#define BOOST_TEST_MODULE EntryConfig
+
+#include "entryfleet/servingfleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace bulrush::test;
+using namespace std::chrono_literals;
+
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+const std::vector<std::string> hosts{"a1", "a2", "b1"};
+constexpr const char *versionInForce = "bulrush_config_version";
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(changesInQuickSuccessionAreInForceWithinTwoSecondsAndNeverGoBack,
+                        ServingFleet)
+{
+    std::map<std::string, std::int64_t> seen;
+    const auto look = [&] {
+        for (const std::string &host : hosts) {
+            const std::int64_t version = counter(host, versionInForce);
+            BOOST_TEST(version >= seen[host], host << " went back to " << version);
+            seen[host] = version;
+        }
+    };
+    for (int i = 0; i < 12; ++i) {
+        writeConfig({"/added" + std::to_string(i) + "/"});
+        look();
+    }
+    const auto written = Clock::now();
+    const std::int64_t last = configVersion();
+    BOOST_TEST(eventually([&] {
+        look();
+        return std::ranges::all_of(seen, [&](const auto &entry) { return entry.second == last; });
+    }));
+    BOOST_TEST((Clock::now() - written < 2s));
+    // The last version in full: with its own route, and without those of the versions before.
+    BOOST_TEST(send("a1", "GET", "/added11/x").status == 200);
+    BOOST_TEST(send("a1", "GET", "/added3/x").status == 404);
+}
+
+BOOST_FIXTURE_TEST_CASE(aRestartedDaemonServesByTheNewestVersionOnly, ServingFleet)
+{
+    writeConfig({"/new/"});
+    daemon("a1").kill();
+    startDaemon("a1");
+    const auto end = Clock::now() + 3s;
+    bool isServed = false;
+    while (Clock::now() < end && !isServed) {
+        const SyncHttpResult result = send("a1", "GET", "/new/x");
+        // As long as it knows no configuration, it can't know that the route is not there.
+        BOOST_TEST((result.status == 200 || result.status == 503), "got " << result.status);
+        isServed = result.status == 200;
+    }
+    BOOST_TEST(isServed);
+}
+
+BOOST_FIXTURE_TEST_CASE(aConfigurationThatCantBeReadLeavesTheOneInForce, ServingFleet)
+{
+    writeRawConfig("{\"version\": \"000000f0\", \"hosts\": 7}");
+    std::this_thread::sleep_for(500ms);
+    BOOST_TEST(send("a1", "POST", "/pay/x", std::nullopt, "euro=1").status == 200);
+    writeConfig({"/new/"});
+    BOOST_TEST(eventually([&] { return send("a1", "GET", "/new/x").status == 200; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(aServerThatDrainsIsLeftInTimeThroughAFeedThatHeardNothing, ServingFleet)
+{
+    setStoreFault("a1", "deaf");
+    writeRecord("p1", "draining");
+    const auto told = Clock::now();
+    std::this_thread::sleep_for(1s);
+    setStoreFault("a1", "ok");
+    dropHistory();
+    std::this_thread::sleep_until(told + 2s);
+    const std::size_t before = runs().size();
+    for (int i = 0; i < 20; ++i)
+        BOOST_TEST(send("a1", "POST", "/pay/x", std::nullopt, "x").status == 200);
+    const std::vector<EntryRun> all = runs();
+    for (std::size_t i = before; i < all.size(); ++i)
+        BOOST_TEST(all[i].server != "p1");
+}
--- /dev/null
+++ b/tests/entryfleet/test_entryfaults.cpp
@@ -0,0 +1,170 @@
+#define BOOST_TEST_MODULE EntryFaults
+
+#include "entryfleet/servingfleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace bulrush::test;
+using namespace std::chrono_literals;
+
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+/** A server's record lapses about this long after its end. */
+constexpr auto lapse = 2600ms;
+/**
+ * By when keys of a lost server are served again where a daemon is lost as well: its word on the
+ * last grants is missing, so that the longest time for which it may grant is waited for, then the
+ * hold, and a round of planning.
+ */
+constexpr auto longestDarkness = 12s;
+
+struct FaultFleet : ServingFleet
+{
+    /** Kills the servers; their records are removed as they lapse. */
+    void loseServers(const std::vector<std::string> &ids)
+    {
+        for (const std::string &id : ids)
+            server(id).kill();
+        std::this_thread::sleep_for(lapse);
+        for (const std::string &id : ids)
+            removeRecord(id);
+    }
+
+    /** Checks that \a hosts serve all keys by \a limit. */
+    void requireServing(const std::vector<std::string> &hosts, Clock::time_point limit)
+    {
+        for (const std::string &host : hosts)
+            BOOST_TEST(eventually([&] { return servesKeys(host); }), host);
+        BOOST_TEST((Clock::now() < limit));
+    }
+
+    std::string otherThan(const std::string &host)
+    {
+        return host == "b1" ? "a1" : "b1";
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(aPlannerAndAnOwnerAreLostTogether, FaultFleet)
+{
+    const std::string lost = planner();
+    const std::string owner = ownerOf(otherThan(lost), 0);
+    daemon(lost).kill();
+    const auto lostAt = Clock::now();
+    loseServers({owner});
+    requireServing({otherThan(lost)}, lostAt + lapse + longestDarkness);
+    startDaemon(lost);
+    requireServing({"a1", "a2", "b1"}, Clock::now() + 10s);
+    BOOST_TEST(firstOverlap() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(aFailureDomainIsLostWithItsServers, FaultFleet)
+{
+    daemon("b1").kill();
+    const auto lostAt = Clock::now();
+    loseServers({"c2", "c4", "p2"});
+    requireServing({"a1", "a2"}, lostAt + lapse + longestDarkness);
+    BOOST_TEST(send("a1", "POST", "/pay/x", std::nullopt, "euro=1").status == 200);
+    BOOST_TEST(firstOverlap() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(allLosePowerAndComeBackWithOtherServers, FaultFleet)
+{
+    for (const std::string host : {"a1", "a2", "b1"})
+        daemon(host).kill();
+    for (const std::string id : {"c1", "c2", "c3", "c4", "p1", "p2"})
+        server(id).kill();
+    startDaemons();
+    for (const std::string id : {"c1", "c2", "c3", "c4", "p1", "p2"})
+        removeRecord(id);
+    startServer({"d1", "catalogue", "a", true});
+    startServer({"d2", "catalogue", "b", true});
+    startServer({"q1", "payments", "a"});
+    requireServing({"a1", "a2", "b1"}, Clock::now() + 15s);
+    BOOST_TEST(send("b1", "POST", "/pay/x", std::nullopt, "euro=1").status == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(aServerIsLostWhileItsKeysMoveAway, FaultFleet)
+{
+    const std::string owner = ownerOf("a1", 0);
+    // The release is on its way when the server ends.
+    delayOrders(owner, 8, 10s);
+    writeRecord(owner, "draining");
+    std::this_thread::sleep_for(300ms);
+    const auto lostAt = Clock::now();
+    loseServers({owner});
+    requireServing({"a1", "b1"}, lostAt + longestDarkness);
+    BOOST_TEST(ownerOf("b1", 0) != owner);
+    BOOST_TEST(firstOverlap() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(thePlannerFreezesWhileAMoveIsUnderWayAndThaws, FaultFleet)
+{
+    const std::string frozen = planner();
+    const std::string other = otherThan(frozen);
+    const std::string owner = ownerOf(other, 0);
+    delayOrders(owner, 2, 700ms);
+    writeRecord(owner, "draining");
+    std::this_thread::sleep_for(150ms);
+    daemon(frozen).stop();
+    BOOST_TEST(eventually([&] {
+        const std::string now = ownerOf(other, 0);
+        return !now.empty() && now != owner;
+    }));
+    daemon(frozen).resume();
+    BOOST_TEST(failuresFor(2000ms, other) == 0);
+    requireServing({"a1", "a2", "b1"}, Clock::now() + 10s);
+    BOOST_TEST(firstOverlap() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(daemonsRestartInTurnWhileTheStoreLosesAnswers, FaultFleet)
+{
+    for (const std::string host : {"a1", "a2", "b1"}) {
+        setStoreFault("*", "ok", 2, 2);
+        daemon(host).terminate();
+        startDaemon(host);
+        BOOST_TEST(eventually([&] { return servesKeys(host); }), host);
+    }
+    setStoreFault("*", "ok");
+    requireServing({"a1", "a2", "b1"}, Clock::now() + 10s);
+    BOOST_TEST(firstOverlap() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(aServerCutFromTheStoreServesUntilItsKeysHaveMoved, FaultFleet)
+{
+    const std::string owner = ownerOf("a1", 0);
+    // Its record lapses although it lives and is reached: its keys move with a handover.
+    removeRecord(owner);
+    BOOST_TEST(failuresFor(3000ms, "b1") == 0);
+    BOOST_TEST(ownerOf("a1", 0) != owner);
+    // It is back at the store; what it gets is granted under higher fences.
+    writeRecord(owner, "ready");
+    BOOST_TEST(failuresFor(3000ms, "b1") == 0);
+    BOOST_TEST(firstOverlap() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(aDomainWhoseDaemonsReachNoStoreServesByWhatOthersKnow, FaultFleet)
+{
+    for (const std::string host : {"a1", "a2"})
+        setStoreFault(host, "silent");
+    const std::string owner = ownerOf("b1", 0);
+    std::this_thread::sleep_for(4s);
+    writeRecord(owner, "draining");
+    BOOST_TEST(eventually([&] {
+        const std::string now = ownerOf("a1", 0);
+        return !now.empty() && now != owner;
+    }));
+    BOOST_TEST(failuresFor(3000ms, "a2") == 0);
+    for (const std::string host : {"a1", "a2"})
+        setStoreFault(host, "ok");
+    requireServing({"a1", "a2", "b1"}, Clock::now() + 10s);
+    BOOST_TEST(firstOverlap() == "");
+}
