Keep retries apart for each service, within what all daemons may repeat

Cause: a daemon had one budget for all services (15% of all its requests and 5 saved up). A small service that fails could get retries that others' traffic earned, and 77 daemons with 5 saved up each pass the slack of 194 that they share on the grown site. Change: a budget a service, of the ratio and the slack that the deployment states (retries.ratio, retries.slack in the settings, filled in by the template), the slack divided by the daemons that have rows. Also new: callers that leave, that send by halves, uploads and several hosts at SIGTERM.

--- a/src/libbulrush/process/entrysettings.h
+++ b/src/libbulrush/process/entrysettings.h
@@ -2,6 +2,7 @@
 
 #include "process/daemonsettings.h"
 #include "process/endpoint.h"
+#include "process/retrybudgets.h"
 #include "version/identifier.h"
 
 #include <string>
@@ -26,6 +27,8 @@
     /** How long a graceful shutdown lets requests in flight go on. */
     Duration drainTime = std::chrono::milliseconds{5500};
     CallerLimits limits;
+    /** What all daemons together may repeat. */
+    RetryTerms retries;
     LogLevel logLevel = LogLevel::Info;
 
     bool operator==(const EntrySettings &) const = default;
--- a/src/libbulrush/process/retrybudget.cpp
+++ b/src/libbulrush/process/retrybudget.cpp
@@ -16,6 +16,12 @@
     , m_reserve(reserve)
 { }
 
+void RetryBudget::setReserve(double reserve)
+{
+    m_reserve = reserve;
+    m_retries = std::min(m_retries, m_reserve);
+}
+
 void RetryBudget::recordFirstAttempt()
 {
     m_retries = std::min(m_retries + m_fraction, m_reserve);
@@ -23,7 +29,8 @@
 
 bool RetryBudget::takeRetry(RequestClass requestClass)
 {
-    const double kept = requestClass == RequestClass::Priority ? 0.0 : m_reserve / 2;
+    const double keptForPriority = std::max(0.0, std::min(m_reserve / 2, m_reserve - 1.0));
+    const double kept = requestClass == RequestClass::Priority ? 0.0 : keptForPriority;
     if (m_retries - kept < oneRetry)
         return false;
     m_retries = std::max(0.0, m_retries - 1.0);
--- a/src/libbulrush/process/retrybudget.h
+++ b/src/libbulrush/process/retrybudget.h
@@ -24,12 +24,15 @@
      */
     explicit RetryBudget(double fraction = defaultFraction, double reserve = defaultReserve);
 
+    /** Bounds what may be saved up from now on; what is above it is lost. */
+    void setReserve(double reserve);
+
     /** Counts a first attempt. */
     void recordFirstAttempt();
 
     /**
      * Spends a retry. \returns false, and spends nothing, if there is none. Half of the reserve is
-     * kept for priority requests.
+     * kept for priority requests, as long as a whole retry is left for the others.
      */
     bool takeRetry(RequestClass requestClass);
 
--- a/src/libbulrush/process/routingstate.h
+++ b/src/libbulrush/process/routingstate.h
@@ -22,6 +22,8 @@
     std::map<ServiceName, std::vector<KnownServer>> servers;
     /** Of the services that are divided by key. */
     std::map<ServiceName, std::shared_ptr<const KeyAssignment>> assignments;
+    /** Daemons that share what is allowed to all of them, this one included; 0: not known yet. */
+    std::size_t daemonCount = 0;
 
     /** \returns the servers of \a service. Valid as long as this object. */
     const std::vector<KnownServer> &serversOf(const ServiceName &service) const;
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -11,26 +11,29 @@
 
 namespace {
 
-/** A tenth of the requests, with room for a few at once: all daemons share the servers' patience.
- */
-constexpr double retryFraction = 0.15;
-constexpr double retryReserve = 5.0;
 /** Requests that wait are looked at again after this time, if nothing else happens before. */
 constexpr Duration lookAgain = std::chrono::milliseconds{15};
 
 } // namespace
 
-ForwardContext::ForwardContext(asio::io_context &ownLoop, DomainName ownDomain,
+ForwardContext::ForwardContext(asio::io_context &ownLoop, const EntrySettings &settings,
                                EntryCounters &ownCounters)
     : loop(ownLoop)
     , servers(ownLoop)
     , timers(ownLoop)
     , counters(ownCounters)
-    , picker(gauges, std::move(ownDomain))
+    , picker(gauges, settings.domain)
     , queue(picker)
-    , retries(retryFraction, retryReserve)
+    , retries(settings.retries)
 { }
 
+void ForwardContext::setState(std::shared_ptr<const RoutingState> published)
+{
+    state = std::move(published);
+    retries.setDaemonCount(state->daemonCount);
+    dispatchSoon();
+}
+
 void ForwardContext::dispatch(Instant now)
 {
     if (!state || queue.size() == 0)
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -2,8 +2,9 @@
 
 #include "connection/serverclient.h"
 #include "entrycounters.h"
+#include "process/entrysettings.h"
 #include "process/looptimers.h"
-#include "process/retrybudget.h"
+#include "process/retrybudgets.h"
 #include "process/routingstate.h"
 #include "process/servergauges.h"
 #include "request/requestqueue.h"
@@ -24,18 +25,18 @@
  */
 struct ForwardContext
 {
-    ForwardContext(asio::io_context &loop, DomainName ownDomain, EntryCounters &counters);
+    ForwardContext(asio::io_context &loop, const EntrySettings &settings, EntryCounters &counters);
 
     asio::io_context &loop;
     io::ServerClient servers;
     io::LoopTimers timers;
     EntryCounters &counters;
-    /** The latest that the control thread published. */
+    /** The latest that the control thread published; set by setState(). */
     std::shared_ptr<const RoutingState> state;
     ServerGauges gauges;
     ServerPicker picker;
     RequestQueue queue;
-    RetryBudget retries;
+    RetryBudgets retries;
     /** In whose places others answered, since that was last told to the planner. */
     std::map<ServiceName, std::set<ServerName>> endedServers;
     /** Of services that are divided by key, since they were last told to the planner. */
@@ -46,6 +47,9 @@
     /** The process is about to end: requests that come now could not be finished. */
     bool isRefusing = false;
 
+    /** Takes in what the control thread published. */
+    void setState(std::shared_ptr<const RoutingState> published);
+
     /** Sends what may be sent, and refuses what can't be served any more. */
     void dispatch(Instant now);
 
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -113,7 +113,7 @@
     if (m_route->timeout)
         wait = std::min(wait, *m_route->timeout);
     m_answerBy = m_startedAt + wait;
-    m_context.retries.recordFirstAttempt();
+    m_context.retries.recordFirstAttempt(m_service);
     if (m_isDividedByKey)
         m_context.askedKeys[m_service].push_back(*m_terms.key);
     return true;
@@ -282,8 +282,9 @@
     const Instant now = io::hostNow();
     if (m_attempts >= mostAttempts || now + delay + RequestQueue::leastServiceTime >= m_answerBy)
         return false;
-    if (!m_context.retries.takeRetry(m_route->priority == 0 ? RequestClass::Priority
-                                                            : RequestClass::Ordinary))
+    const RequestClass requestClass =
+        m_route->priority == 0 ? RequestClass::Priority : RequestClass::Ordinary;
+    if (!m_context.retries.takeRetry(m_service, requestClass))
         return false;
     enqueue(now + delay);
     return true;
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -23,7 +23,7 @@
     : m_settings(settings)
     , m_counters(counters)
     , m_guard(asio::make_work_guard(m_loop))
-    , m_context(m_loop, settings.domain, counters)
+    , m_context(m_loop, settings, counters)
 { }
 
 ForwardWorker::~ForwardWorker()
@@ -58,8 +58,7 @@
 void ForwardWorker::setState(std::shared_ptr<const RoutingState> state)
 {
     asio::post(m_loop, [this, state = std::move(state)]() mutable {
-        m_context.state = std::move(state);
-        m_context.dispatchSoon();
+        m_context.setState(std::move(state));
     });
 }
 
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -177,6 +177,7 @@
     if (change.isWhole)
         noteMissing(change, hasPlanner, now);
     m_coordinator.rowsSeen(change.version);
+    m_parts.state.setDaemonCount(peers().size() + 1);
     advance(now);
 }
 
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -48,6 +48,12 @@
     publish();
 }
 
+void StatePublisher::setDaemonCount(std::size_t count)
+{
+    if (std::exchange(m_daemonCount, count) != count)
+        publish();
+}
+
 void StatePublisher::noteEnded(const ServerName &id)
 {
     if (!m_directory.noteEnded(id, io::hostNow()))
@@ -125,6 +131,7 @@
     auto state = std::make_shared<RoutingState>();
     state->routes = m_routes;
     state->assignments = m_assignments;
+    state->daemonCount = m_daemonCount;
     for (const auto &[id, server] : m_directory.servers()) {
         if (!server.goneSince)
             state->servers[server.record.service].push_back(server);
--- a/src/libbulrushentry/statepublisher.h
+++ b/src/libbulrushentry/statepublisher.h
@@ -28,6 +28,9 @@
     /** Takes in the assignment in force of a service. */
     void setAssignment(KeyAssignment assignment);
 
+    /** Notes how many daemons there are. */
+    void setDaemonCount(std::size_t count);
+
     /** Notes that the server \a id has ended, though its record may still be there. */
     void noteEnded(const ServerName &id);
 
@@ -56,6 +59,7 @@
     ServerDirectory m_directory;
     std::shared_ptr<const RouteTable> m_routes;
     std::map<ServiceName, std::shared_ptr<const KeyAssignment>> m_assignments;
+    std::size_t m_daemonCount = 0;
     bool m_hasServers = false;
 };
 
--- a/src/libbulrushio/process/entrysettingsreader.cpp
+++ b/src/libbulrushio/process/entrysettingsreader.cpp
@@ -23,6 +23,18 @@
     addresses->finish();
 }
 
+void readRetries(YamlFields &fields, RetryTerms &retries)
+{
+    constexpr double mostRatio = 10.0;
+    constexpr double mostSlack = 1'000'000.0;
+    auto terms = fields.mapping("retries", Presence::Optional);
+    if (!terms)
+        return;
+    terms->read("ratio", decimal(0.0, mostRatio), retries.ratio, Presence::Optional);
+    terms->read("slack", decimal(0.0, mostSlack), retries.slack, Presence::Optional);
+    terms->finish();
+}
+
 } // namespace
 
 bool hasStore(std::string_view path)
@@ -49,6 +61,7 @@
     readAddresses(fields, settings);
     fields.read("drainTime", duration(1s, 1h), settings.drainTime, Presence::Optional);
     readCallerLimits(fields, settings.limits);
+    readRetries(fields, settings.retries);
     readLogLevel(fields, settings.logLevel);
     fields.finish();
     if (!report.isClean())
--- a/src/libbulrushio/process/scalartype.cpp
+++ b/src/libbulrushio/process/scalartype.cpp
@@ -3,6 +3,7 @@
 #include <asio/ip/address.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <limits>
 #include <span>
@@ -69,6 +70,15 @@
     return std::to_string(quantity / unit->factor) + std::string{unit->name};
 }
 
+/** \returns \a number with as few digits as tell it. */
+std::string decimalText(double number)
+{
+    std::array<char, 32> text{};
+    const auto [end, error] =
+        std::to_chars(text.data(), text.data() + text.size(), number, std::chars_format::fixed);
+    return error == std::errc{} ? std::string{text.data(), end} : std::string{};
+}
+
 bool isNameCharacter(char c)
 {
     return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
@@ -140,6 +150,20 @@
     return {parse, "a whole number from " + std::to_string(least) + " to " + std::to_string(most)};
 }
 
+ScalarType<double> decimal(double least, double most)
+{
+    const auto parse = [least, most](std::string_view text) -> std::optional<double> {
+        double number = 0.0;
+        const char *end = text.data() + text.size();
+        const auto result = std::from_chars(text.data(), end, number, std::chars_format::fixed);
+        const bool isNumber = !text.empty() && result.ec == std::errc{} && result.ptr == end;
+        if (!isNumber || !(number >= least && number <= most))
+            return std::nullopt;
+        return number;
+    };
+    return {parse, "a number from " + decimalText(least) + " to " + decimalText(most)};
+}
+
 ScalarType<Duration> duration(Duration least, Duration most)
 {
     const auto parse = [least, most](std::string_view text) -> std::optional<Duration> {
--- a/src/libbulrushio/process/scalartype.h
+++ b/src/libbulrushio/process/scalartype.h
@@ -42,6 +42,9 @@
 /** A whole number with bounds. */
 ScalarType<std::uint64_t> wholeNumber(std::uint64_t least, std::uint64_t most);
 
+/** A number with bounds, with or without decimals, such as 0.2. */
+ScalarType<double> decimal(double least, double most);
+
 /** A span of time, a whole number with its unit: ms, s, m, h or d. */
 ScalarType<Duration> duration(Duration least, Duration most);
 
--- /dev/null
+++ b/tests/entryfleet/test_entrycallers.cpp
@@ -0,0 +1,139 @@
+#define BOOST_TEST_MODULE EntryCallers
+
+#include "entryfleet/entryfleet.h"
+#include "entryfleet/scriptedbackend.h"
+#include "standinprocess/rawconnection.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace bulrush::test;
+using namespace std::chrono_literals;
+
+using Clock = std::chrono::steady_clock;
+using Socket = ScriptedServer::Socket;
+
+namespace {
+
+struct ServingFleet : EntryFleet
+{
+    ServingFleet()
+        : EntryFleet({"a1", "b1"})
+    {
+        writeConfig();
+        startServers();
+        startDaemons();
+        awaitServing();
+    }
+};
+
+std::string headOf(const std::string &id, const std::string &path, std::size_t bodyLength)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Bulrushswitch-Request-Id: " + id
+        + "\r\nX-Bulrushswitch-Deadline-Ms: 4000\r\nContent-Length: " + std::to_string(bodyLength)
+        + "\r\n\r\n";
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(retriesOfAServiceStayWithinWhatItsOwnRequestsAllow, ServingFleet)
+{
+    constexpr int reads = 120;
+    for (int i = 0; i < reads; ++i) {
+        const std::string host = i % 2 == 0 ? "a1" : "b1";
+        // What another service gets earns these nothing.
+        for (int j = 0; j < 4; ++j)
+            send(host, "POST", "/pay/x", std::nullopt, "euro=1");
+        // Every other one, as a server that answers nothing at all is not sent to.
+        for (const std::string id : {"c1", "c2", "c3", "c4"})
+            spoilAnswers(id, "lose", i / 2 % 2);
+        read(host, i * 1009 % 65'536);
+    }
+    // Three quarters of a fifth of the requests, and what two daemons may have saved up.
+    const auto repeats = static_cast<double>(repeatedRuns().size());
+    BOOST_TEST(repeats <= reads * 0.15 + 2 * 5);
+    BOOST_TEST(repeats > 0);
+}
+
+BOOST_AUTO_TEST_CASE(theWorkOfACallerThatLeftIsGivenUpAtOnce)
+{
+    std::atomic<std::int64_t> begunAt = 0;
+    std::atomic<std::int64_t> endedAt = 0;
+    const auto now = [] {
+        return Clock::now().time_since_epoch().count();
+    };
+    EntryFleet fleet{{"a1"}};
+    const ScriptedBackend backend{[&](Socket &socket, int) -> asio::awaitable<void> {
+        std::string buffer;
+        co_await ScriptedServer::readHead(socket, buffer);
+        begunAt = now();
+        co_await ScriptedServer::drain(socket);
+        endedAt = now();
+    }};
+    fleet.writeConfig();
+    fleet.startServer({"c1", "catalogue", "a", true});
+    fleet.writeRecordOf({"p0", "payments", "a"}, backend.address());
+    fleet.startDaemons();
+    fleet.awaitServing();
+    RawConnection caller{fleet.callersAddress("a1")};
+    caller.send(headOf("left", "/pay/x", 0));
+    BOOST_TEST(EntryFleet::eventually([&] { return begunAt != 0; }));
+    const std::int64_t leftAt = now();
+    caller.close();
+    BOOST_TEST(EntryFleet::eventually([&] { return endedAt != 0; }));
+    BOOST_TEST((Clock::duration{endedAt - leftAt} < 500ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(callersThatSendByHalvesHoldNobodyBack, ServingFleet)
+{
+    std::vector<std::unique_ptr<RawConnection>> slow;
+    for (int i = 0; i < 200; ++i) {
+        slow.push_back(std::make_unique<RawConnection>(callersAddress("a1")));
+        const std::string head = headOf("slow" + std::to_string(i), "/pay/x", 1000);
+        slow.back()->send(i % 2 == 0 ? head.substr(0, head.size() / 2) : head + "half of a body");
+    }
+    const auto start = Clock::now();
+    for (int i = 0; i < 50; ++i)
+        BOOST_TEST(send("a1", "POST", "/pay/x", std::nullopt, "euro=1").status == 200);
+    BOOST_TEST((Clock::now() - start < 5s));
+    slow.clear();
+    // What was never read whole has run nowhere.
+    for (const EntryRun &run : runs())
+        BOOST_TEST(!run.request.starts_with("slow"), run.request);
+}
+
+BOOST_FIXTURE_TEST_CASE(aKeptConnectionServesOneRequestAfterTheOther, ServingFleet)
+{
+    RawConnection caller{callersAddress("a1")};
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "kept" + std::to_string(i);
+        caller.send(headOf(id, "/pay/x", 3) + "one");
+        std::string answer;
+        BOOST_TEST(EntryFleet::eventually([&] {
+            answer += caller.receivedSoFar();
+            return answer.find("request=" + id) != std::string::npos;
+        }));
+        BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
+    }
+    BOOST_TEST(repeatedRuns().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(whatCannotBeServedIsRefusedAtOnceAndTellsWhenToComeBack, ServingFleet)
+{
+    for (const std::string id : {"p1", "p2"})
+        removeRecord(id);
+    BOOST_TEST(EntryFleet::eventually(
+        [&] { return send("a1", "POST", "/pay/x", std::nullopt, "euro=1").status == 503; }));
+    const auto start = Clock::now();
+    const SyncHttpResult refused = send("a1", "POST", "/pay/x", std::nullopt, "euro=1");
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(refused.header("Retry-After").has_value());
+    BOOST_TEST((Clock::now() - start < 1s));
+}
--- a/tests/entryfleet/test_entryshutdown.cpp
+++ b/tests/entryfleet/test_entryshutdown.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE EntryShutdown
 
 #include "entryfleet/entryfleet.h"
+#include "standinprocess/rawconnection.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,6 +11,8 @@
 #include <csignal>
 #include <future>
 #include <limits>
+#include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -85,6 +88,46 @@
         BOOST_TEST(run.endUs != std::numeric_limits<std::int64_t>::max(), run.request);
 }
 
+BOOST_FIXTURE_TEST_CASE(anUploadInFlightIsAnsweredAfterSigterm, SlowFleet)
+{
+    RawConnection caller{callersAddress("a1")};
+    const std::string body(6 << 20, 'u');
+    caller.send("POST /upload/x HTTP/1.1\r\nHost: shop.example\r\n"
+                "X-Bulrushswitch-Request-Id: up\r\nX-Bulrushswitch-Deadline-Ms: 4500\r\n"
+                "Content-Length: "
+                + std::to_string(body.size()) + "\r\n\r\n");
+    // The signal comes in the middle of the body.
+    caller.send(std::string_view{body}.substr(0, body.size() / 2));
+    std::this_thread::sleep_for(200ms);
+    ::kill(daemon("a1").pid(), SIGTERM);
+    std::this_thread::sleep_for(200ms);
+    caller.send(std::string_view{body}.substr(body.size() / 2));
+    std::string answer;
+    BOOST_TEST(eventually([&] {
+        answer += caller.receivedSoFar();
+        return answer.find("request=up") != std::string::npos;
+    }));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
+    BOOST_TEST(daemon("a1").terminate().code.value_or(-1) == 0);
+    BOOST_TEST(repeatedRuns().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(hostsThatLeaveCloseTogetherCutNothingOff, SlowFleet)
+{
+    std::vector<std::future<SyncHttpResult>> payments;
+    for (int i = 0; i < 4; ++i)
+        payments.push_back(payInBackground(i % 2 == 0 ? "a1" : "b1", "p" + std::to_string(i)));
+    std::this_thread::sleep_for(200ms);
+    ::kill(daemon("a1").pid(), SIGTERM);
+    std::this_thread::sleep_for(300ms);
+    ::kill(daemon("b1").pid(), SIGTERM);
+    for (auto &payment : payments)
+        BOOST_TEST(payment.get().status == 200);
+    for (const std::string host : {"a1", "b1"})
+        BOOST_TEST(daemon(host).terminate().code.value_or(-1) == 0);
+    BOOST_TEST(repeatedRuns().empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(aPlannerThatShutsDownHandsItsLeaseOnAtOnce, SlowFleet)
 {
     const std::string leaving = planner();
--- a/tests/entrysettings/test_entrysettings.cpp
+++ b/tests/entrysettings/test_entrysettings.cpp
@@ -73,6 +73,12 @@
         {"{{listen.ready}}", "10.1.0.18:8388"},
         {"{{ip}}", "10.1.0.18"},
         {"{{internalPortRange.0}}", "7200"},
+        {"{{bounds.budgetSlack}}", "64"},
+        {"{{bounds.retryBudgetRatio}}", "0.25"},
+        {"{{#bounds.budgetSlack}}\n", ""},
+        {"{{/bounds.budgetSlack}}\n", ""},
+        {"{{#bounds.retryBudgetRatio}}\n", ""},
+        {"{{/bounds.retryBudgetRatio}}\n", ""},
     };
     for (const auto &[name, value] : values) {
         for (std::size_t at = text.find(name); at != std::string::npos; at = text.find(name))
@@ -105,6 +111,18 @@
     BOOST_TEST(!reading.error);
     BOOST_TEST(reading.settings.callers.port == 8381);
     BOOST_TEST(reading.settings.operators.port == 8388);
+    BOOST_TEST((reading.settings.retries == RetryTerms{0.25, 64.0}));
+}
+
+BOOST_AUTO_TEST_CASE(retriesAreNumbersWithinBounds)
+{
+    const SettingsFile file{usable + "retries:\n  slack: 12.5\n"};
+    BOOST_TEST((io::readEntrySettings(file.path()).settings.retries == RetryTerms{0.2, 12.5}));
+    for (const std::string wrong : {"-1", "many", "0.2s", "1e3", ""}) {
+        const std::string problem = problemsOf(usable + "retries:\n  ratio: " + wrong + "\n");
+        BOOST_TEST(problem.find("retries.ratio") != std::string::npos, wrong << ": " << problem);
+        BOOST_TEST(problem.find("a number from 0 to 10") != std::string::npos, problem);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(whatIsWrongIsNamedWithItsFieldAndLine)
--- a/tests/requestlife/test_retry.cpp
+++ b/tests/requestlife/test_retry.cpp
@@ -1,4 +1,4 @@
-#include "process/retrybudget.h"
+#include "process/retrybudgets.h"
 #include "request/retrypolicy.h"
 
 #include <boost/test/unit_test.hpp>
@@ -84,4 +84,47 @@
     BOOST_TEST(priority == 5);
 }
 
+BOOST_AUTO_TEST_CASE(trafficOfOneServiceEarnsNoRetriesForAnother)
+{
+    const ServiceName busy{"busy"};
+    const ServiceName quiet{"quiet"};
+    RetryBudgets budgets{RetryTerms{0.2, 56.0}};
+    budgets.setDaemonCount(8);
+    int retries = 0;
+    for (int i = 0; i < 400; ++i) {
+        for (int j = 0; j < 10; ++j)
+            budgets.recordFirstAttempt(busy);
+        budgets.recordFirstAttempt(quiet);
+        while (budgets.takeRetry(quiet, RequestClass::Priority))
+            ++retries;
+    }
+    BOOST_TEST(retries == 60);
+}
+
+BOOST_AUTO_TEST_CASE(whatDaemonsSaveUpStaysBelowWhatAllMayRepeatTogether)
+{
+    for (const std::size_t daemons : {1, 8, 12, 77, 89, 145}) {
+        RetryBudgets budgets{RetryTerms{0.2, 194.0}};
+        budgets.setDaemonCount(daemons);
+        const ServiceName service{"s"};
+        for (int i = 0; i < 1000; ++i)
+            budgets.recordFirstAttempt(service);
+        int saved = 0;
+        while (budgets.takeRetry(service, RequestClass::Priority))
+            ++saved;
+        BOOST_TEST(saved >= 1);
+        BOOST_TEST(static_cast<double>(saved) * static_cast<double>(daemons) <= 194.0);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(anOrdinaryRequestMayUseTheOnlyRetryThatIsSavedUp)
+{
+    RetryBudgets budgets{RetryTerms{0.2, 100.0}};
+    budgets.setDaemonCount(75);
+    const ServiceName service{"s"};
+    for (int i = 0; i < 20; ++i)
+        budgets.recordFirstAttempt(service);
+    BOOST_TEST(budgets.takeRetry(service, RequestClass::Ordinary));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
