--- a/tests/keyworld/keyworld.cpp
+++ b/tests/keyworld/keyworld.cpp
@@ -1,6 +1,8 @@
 #include "keyworld.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 
 namespace bulrush::test {
 
@@ -120,19 +122,152 @@
     m_now = end;
 }
 
+std::string KeyWorld::playScript(Duration span)
+{
+    m_isScripted = true;
+    m_hasFaults = false;
+    m_start = m_now;
+    m_tracedHolders.resize(cells);
+    playUntil(m_start + span);
+    note(m_end.broken.empty() ? "one owner throughout" : m_end.broken);
+    return m_trace;
+}
+
+void KeyWorld::at(Duration since, std::function<void()> step)
+{
+    after(since, std::move(step));
+}
+
+std::size_t KeyWorld::planner() const
+{
+    for (std::size_t i = 0; i < daemonCount; ++i) {
+        if (m_daemons[i]->isUp && m_daemons[i]->coordinator->isPlanning())
+            return i;
+    }
+    return 0;
+}
+
+std::size_t KeyWorld::firstOwner()
+{
+    const OwnedRange *owned = m_assignment.find(0);
+    Server *server = owned ? serverOf(owned->owner) : nullptr;
+    return server ? server->index : 0;
+}
+
+void KeyWorld::note(const std::string &what)
+{
+    if (!m_isScripted)
+        return;
+    const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - m_start);
+    std::array<char, 16> time{};
+    std::snprintf(time.data(), time.size(), "%7.2f", static_cast<double>(passed.count()) / 1000.0);
+    m_trace += std::string{time.data()} + "  " + what + '\n';
+}
+
+/** Notes which cells have come to hold by other servers, those next to each other together. */
+void KeyWorld::noteHolders()
+{
+    std::vector<ServerName> holders(cells);
+    for (std::size_t cell = 0; cell < cells; ++cell) {
+        for (const auto &server : m_servers) {
+            if (server->isUp && server->leases.holds(cell, m_now))
+                holders[cell] = server->name;
+        }
+    }
+    const auto shown = [](const ServerName &name) {
+        return name.isEmpty() ? std::string{"nobody"} : name.value();
+    };
+    for (std::size_t first = 0; first < cells;) {
+        std::size_t last = first;
+        const auto isAlike = [&](std::size_t cell) {
+            return holders[cell] == holders[first]
+                && m_tracedHolders[cell] == m_tracedHolders[first];
+        };
+        while (last + 1 < cells && isAlike(last + 1))
+            ++last;
+        if (holders[first] != m_tracedHolders[first])
+            note("cells " + std::to_string(first) + '-' + std::to_string(last) + ": "
+                 + shown(m_tracedHolders[first]) + " -> " + shown(holders[first]));
+        first = last + 1;
+    }
+    m_tracedHolders = std::move(holders);
+}
+
+void KeyWorld::killDaemon(std::size_t index)
+{
+    note("d" + std::to_string(index) + " is killed");
+    m_daemons[index]->isUp = false;
+}
+
+void KeyWorld::freezeDaemon(std::size_t index, Duration span)
+{
+    note("d" + std::to_string(index) + " freezes");
+    m_daemons[index]->frozenUntil = m_now + span;
+}
+
+void KeyWorld::cutFromStore(std::size_t index, Duration span)
+{
+    note("d" + std::to_string(index) + " is cut from the store");
+    m_daemons[index]->cutFromStoreUntil = m_now + span;
+}
+
+void KeyWorld::cutFromServers(std::size_t index, Duration span)
+{
+    note("d" + std::to_string(index) + " is cut from servers");
+    m_daemons[index]->cutFromServersUntil = m_now + span;
+}
+
+void KeyWorld::cutFromPeers(std::size_t index, Duration span)
+{
+    note("d" + std::to_string(index) + " is cut from daemons");
+    m_daemons[index]->cutFromPeersUntil = m_now + span;
+}
+
+void KeyWorld::takeStoreAway(Duration span)
+{
+    note("the store is away");
+    m_storeAwayUntil = m_now + span;
+}
+
+void KeyWorld::makeFeedsDeaf()
+{
+    note("feeds hear nothing");
+    m_feedsDeafUntil = m_now + KeyTimings{}.feedDeafness;
+}
+
+void KeyWorld::delayCommits(int count, Duration delay)
+{
+    note("commits are carried out late, their answers lost");
+    m_commitsToDelay = count;
+    m_commitDelay = delay;
+}
+
+void KeyWorld::delayGrants(int count, Duration delay)
+{
+    note("grants are carried out late, unanswered");
+    m_grantsToDelay = count;
+    m_grantDelay = delay;
+}
+
 Duration KeyWorld::transit()
 {
+    if (m_isScripted)
+        return 2ms;
     return std::chrono::microseconds{
         std::uniform_int_distribution<int>{300, happens(0.05) ? 150'000 : 8'000}(m_random)};
 }
 
 bool KeyWorld::happens(double probability)
 {
+    if (m_isScripted)
+        return false;
     return std::uniform_real_distribution<double>{0.0, 1.0}(m_random) < probability;
 }
 
 std::size_t KeyWorld::oneOf(std::size_t count)
 {
+    if (m_isScripted)
+        return 0;
     return std::uniform_int_distribution<std::size_t>{0, count - 1}(m_random);
 }
 
@@ -209,7 +344,9 @@
     Daemon &daemon = *m_daemons[index];
     const std::uint64_t life = daemon.life;
     const bool isLost = m_hasFaults && happens(0.05);
-    const bool isLate = m_hasFaults && happens(0.04);
+    const bool isDelayed = m_commitsToDelay > 0 && m_commitsToDelay-- > 0;
+    const bool isLate = isDelayed || (m_hasFaults && happens(0.04));
+    const Duration lateBy = isDelayed ? m_commitDelay : Duration{1s + 1ms * oneOf(5000)};
     const auto answer = [this, index, life, ended](RowWriteEnd end, std::uint64_t version) {
         toDaemon(index, life, [ended, end, version] { ended(end, version); });
     };
@@ -217,7 +354,7 @@
         after(1s, [answer] { answer(RowWriteEnd::Unknown, 0); });
         return;
     }
-    after(isLate ? Duration{1s + 1ms * oneOf(5000)} : transit(), [=, this] {
+    after(isLate ? lateBy : transit(), [=, this] {
         const std::uint64_t version = apply();
         if (isLost || isLate)
             return;
@@ -233,6 +370,9 @@
     const auto apply = [this, write = action.write]() -> std::uint64_t {
         if (m_plannerVersion != write.expectedVersion)
             return 0;
+        if (m_planner.holder != write.row.holder)
+            note("planner is "
+                 + (write.row.holder.isEmpty() ? std::string{"nobody"} : write.row.holder.value()));
         m_planner = write.row;
         return m_plannerVersion = ++m_version;
     };
@@ -258,6 +398,8 @@
             return 0;
         m_assignment = next;
         ++m_end.moves;
+        note("assignment " + std::to_string(next.sequence) + ", moving "
+             + std::to_string(std::ranges::count_if(next.ranges, &OwnedRange::isMoving)));
         return m_assignmentVersion = ++m_version;
     };
     commit(index, apply, [this, index, next](RowWriteEnd end, std::uint64_t version) {
@@ -291,7 +433,8 @@
     // A cut holds bytes up until it is over.
     const bool isHeldUp = m_hasFaults && happens(0.05);
     const Duration way = isHeldUp ? Duration{1ms * oneOf(6000)} : transit();
-    const bool isLate = m_hasFaults && happens(0.05);
+    const bool isDelayed = m_grantsToDelay > 0 && m_grantsToDelay-- > 0;
+    const bool isLate = isDelayed || (m_hasFaults && happens(0.05));
     const bool comes = isReached && !(m_hasFaults && happens(0.02))
         && (way < longest || m_planted == Planted::HeldUpBytesCome);
     // A call that finds no connection can't have come; any other may have.
@@ -305,7 +448,8 @@
     });
     if (!comes)
         return;
-    const Duration late = isLate ? Duration{2s + 1ms * oneOf(10'000)} : Duration{};
+    const Duration drawn = isLate ? Duration{2s + 1ms * oneOf(10'000)} : Duration{};
+    const Duration late = isDelayed ? m_grantDelay : drawn;
     after(way, [this, action, name = server->name, late] {
         const Instant arrivedAt = m_now;
         after(late, [this, action, name, arrivedAt] {
@@ -333,6 +477,8 @@
             && target->leases.cellsOf(action.owned.range).first < cells)
             fence = target->leases.fenceOf(target->leases.cellsOf(action.owned.range).first);
         target->leases.release(action.owned.range, fence);
+        note(name.value() + " gives up " + std::to_string(action.owned.range.first) + '-'
+             + std::to_string(action.owned.range.last) + " under " + std::to_string(fence));
         if (m_hasFaults && happens(0.1))
             return;
         after(transit() + 1ms * oneOf(300), [this, index, life, action] {
@@ -511,26 +657,46 @@
     const KnownServer *known = m_directory.find(server.name);
     if (!server.isUp || !known || !known->isReady())
         return;
-    ServerRecord record = known->record;
     switch (oneOf(3)) {
-    case 0: // crashes; its record lapses later
-        after(2500ms, [this, id = record.id] { m_directory.remove(id, m_now); });
-        replaceServer(server);
+    case 0:
+        crashServer(server.index);
         break;
-    case 1: // drains and leaves
-        record.isDraining = true;
-        m_directory.take(record, m_now);
-        after(4s, [this, &server, id = record.id] {
-            m_directory.remove(id, m_now);
-            replaceServer(server);
-        });
+    case 1:
+        drainServer(server.index);
         break;
-    default: // its record is gone although it lives
-        m_directory.remove(record.id, m_now);
+    default:
+        hideServer(server.index);
         after(12s, [this, &server] { replaceServer(server); });
     }
 }
 
+void KeyWorld::crashServer(std::size_t index)
+{
+    Server &server = *m_servers[index];
+    note(server.name.value() + " crashes");
+    after(2500ms, [this, id = server.name] { m_directory.remove(id, m_now); });
+    replaceServer(server);
+}
+
+void KeyWorld::drainServer(std::size_t index)
+{
+    Server &server = *m_servers[index];
+    note(server.name.value() + " drains");
+    ServerRecord record = m_directory.find(server.name)->record;
+    record.isDraining = true;
+    m_directory.take(record, m_now);
+    after(4s, [this, &server, id = record.id] {
+        m_directory.remove(id, m_now);
+        replaceServer(server);
+    });
+}
+
+void KeyWorld::hideServer(std::size_t index)
+{
+    note(m_servers[index]->name.value() + " has no record any more");
+    m_directory.remove(m_servers[index]->name, m_now);
+}
+
 /** Ends \a server; another run of it starts, and registers, after a pause. */
 void KeyWorld::replaceServer(Server &server)
 {
@@ -611,6 +777,8 @@
         name = holder->name;
         fence = current;
     }
+    if (m_isScripted)
+        noteHolders();
 }
 
 KeyWorld::Server *KeyWorld::serverOf(const ServerName &name)
--- a/tests/keyworld/keyworld.h
+++ b/tests/keyworld/keyworld.h
@@ -56,6 +56,37 @@
     /** Plays a minute with faults, and then without any until the last ones are over. */
     WorldEnd run();
 
+    /**
+     * Plays \a span without chance, with only the faults that steps given to at() set. \returns
+     * what happened, line by line, for a golden file; the last line tells what was broken.
+     */
+    std::string playScript(Duration span);
+
+    /** Has \a step run at \a since the start of a script. To be called before playScript(). */
+    void at(Duration since, std::function<void()> step);
+
+    /** \returns the daemon that plans, and the server that owns the first key; for steps. */
+    std::size_t planner() const;
+    std::size_t firstOwner();
+
+    void killDaemon(std::size_t index);
+    void startDaemon(std::size_t index);
+    void freezeDaemon(std::size_t index, Duration span);
+    void cutFromStore(std::size_t index, Duration span);
+    void cutFromServers(std::size_t index, Duration span);
+    void cutFromPeers(std::size_t index, Duration span);
+    void takeStoreAway(Duration span);
+    void makeFeedsDeaf();
+    /** Has the next \a count commits carried out after \a delay, and their answers lost. */
+    void delayCommits(int count, Duration delay);
+    /** Has the next \a count grants carried out late by \a delay, without an answer. */
+    void delayGrants(int count, Duration delay);
+    /** It ends; its record lapses later, and another run of it registers after a pause. */
+    void crashServer(std::size_t index);
+    void drainServer(std::size_t index);
+    /** It loses its record while it lives. */
+    void hideServer(std::size_t index);
+
 private:
     struct Daemon;
     struct Server;
@@ -68,7 +99,6 @@
     bool happens(double probability);
     std::size_t oneOf(std::size_t count);
 
-    void startDaemon(std::size_t index);
     void tick(std::size_t index, std::uint64_t life);
     void carryOut(std::size_t index, const KeyAction &action);
     void act(std::size_t index, const WritePlannerRow &action);
@@ -94,6 +124,8 @@
     void faultOfStore();
     void faultOfView();
     void check();
+    void note(const std::string &what);
+    void noteHolders();
     Server *serverOf(const ServerName &name);
 
     std::mt19937_64 m_random;
@@ -116,6 +148,15 @@
     bool m_hasFaults = true;
     std::map<std::size_t, std::pair<ServerName, std::uint64_t>> m_lastHolder;
     WorldEnd m_end;
+    /** Of a script: no chance, and a trace of what happens. */
+    bool m_isScripted = false;
+    Instant m_start;
+    std::string m_trace;
+    std::vector<ServerName> m_tracedHolders;
+    int m_commitsToDelay = 0;
+    Duration m_commitDelay{};
+    int m_grantsToDelay = 0;
+    Duration m_grantDelay{};
 };
 
 } // namespace bulrush::test
