Let one daemon of a failure domain read the store's rows for all

Change: ReaderChoice: daemons of a domain follow changes through the one that registered first (its row names its domain); it holds their questions (RowsFeed) and answers by what changed. It serves only while it reaches the store, told an answer at most 1.5 s ago, so that a frozen or cut reader delays nobody beyond two seconds; who fails is passed over, longer each time; who finds nobody reads the store itself. A wait for changes that got lost on one table has the others ask anew. Weighed: one reader for all domains (bytes between domains, and a cut leaves no reader), one question for all tables (fewer messages, more code). Test first: oneDaemonOfADomainReadsForAll; a reader that reaches no store delayed others by 2.2 s until any table's failure stopped its serving.

--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -173,7 +173,7 @@
     const std::uint64_t version = known == m_renewers.renewers().end() ? 0 : known->second.version;
     if (m_isLeaving)
         return WriteDaemonRow{m_self.host, std::exchange(m_ownVersion, 0), std::nullopt};
-    return WriteDaemonRow{m_self.host, version, DaemonRow{m_self.incarnation, m_self.address}};
+    return WriteDaemonRow{m_self.host, version, DaemonRow{m_self.incarnation, m_self.address, m_self.domain}};
 }
 
 void KeyCoordinator::planActions(const ServerDirectory &servers, std::span<const ServiceName> keyed,
--- a/src/libbulrush/process/renewerbook.h
+++ b/src/libbulrush/process/renewerbook.h
@@ -20,6 +20,7 @@
     Incarnation incarnation;
     /** Where it takes messages of other daemons. */
     Endpoint address;
+    DomainName domain = {};
 
     bool operator==(const DaemonRow &) const = default;
 };
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -63,19 +63,25 @@
     , m_store(m_client, m_settings.store)
     , m_relay(m_client, [this] { return m_keys.peers(); })
     , m_worker(m_settings, m_counters)
-    , m_state({m_store, m_timers, m_relay, m_storeClock},
+    , m_readers(m_settings.host, m_settings.domain)
+    , m_state(followParts(),
               [this](std::shared_ptr<const RoutingState> state) {
                   m_worker.setState(std::move(state));
               })
-    , m_keys({{m_store, m_timers, m_relay, m_storeClock}, m_client, m_state},
+    , m_keys({followParts(), m_client, m_state},
              {m_settings.host, newIncarnation(m_settings.host), m_settings.domain, m_settings.peers,
               patienceOf(m_settings.host)})
-    , m_peers(m_keys, m_state)
+    , m_peers(m_keys, m_state, m_timers)
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
 { }
 
 EntryDaemon::~EntryDaemon() = default;
 
+FollowParts EntryDaemon::followParts()
+{
+    return {m_store, m_timers, m_relay, m_storeClock, m_readers, m_followers};
+}
+
 EntryEnd EntryDaemon::run()
 {
     if (const std::error_code error = listen()) {
--- a/src/libbulrushentry/entrydaemon.h
+++ b/src/libbulrushentry/entrydaemon.h
@@ -46,6 +46,7 @@
     EntryEnd run();
 
 private:
+    FollowParts followParts();
     std::error_code listen();
     std::unique_ptr<io::CallerServer> pagesAt(const Endpoint &address);
     void printAddresses() const;
@@ -70,6 +71,8 @@
     RowsRelay m_relay;
     StoreClock m_storeClock;
     ForwardWorker m_worker;
+    ReaderChoice m_readers;
+    FollowerGroup m_followers;
     StatePublisher m_state;
     KeyControl m_keys;
     std::unique_ptr<io::CallerServer> m_operators;
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -20,10 +20,12 @@
 constexpr std::string_view daemonPrefix = "daemon/";
 
 /**
- * The wait bounds how old the last answer of the store may get while all is well, well below the
- * time that the right to renew lasts. What is committed within the pause comes in one answer.
+ * The wait bounds how old the last answer of the store may get while all is well: well below the
+ * time that the right to renew lasts, and TableFollower::longestSilence, after which a daemon that
+ * others follow rows through is taken to be cut off. What is committed within the pause comes in
+ * one answer.
  */
-constexpr FollowPace rowsPace{std::chrono::milliseconds{2000}, std::chrono::milliseconds{100}};
+constexpr FollowPace rowsPace{std::chrono::milliseconds{1000}, std::chrono::milliseconds{100}};
 
 std::string assignmentKey(const ServiceName &service)
 {
@@ -131,7 +133,7 @@
     return m_coordinator.answerOn(question.assignment.service, question.servers, now);
 }
 
-const TableFollower *KeyControl::follower(std::string_view table) const
+TableFollower *KeyControl::follower(std::string_view table)
 {
     return table == m_rows.table() ? &m_rows : nullptr;
 }
@@ -178,6 +180,10 @@
         noteMissing(change, hasPlanner, now);
     m_coordinator.rowsSeen(change.version);
     m_parts.state.setDaemonCount(peers().size() + 1);
+    std::vector<Renewer> daemons;
+    for (const auto &[host, renewer] : m_coordinator.renewers().renewers())
+        daemons.push_back(renewer);
+    m_parts.follow.readers.setDaemons(daemons);
     advance(now);
 }
 
--- a/src/libbulrushentry/keycontrol.h
+++ b/src/libbulrushentry/keycontrol.h
@@ -56,7 +56,7 @@
     RenewerAnswer answerOn(const io::RenewalQuestion &question);
 
     /** \returns the follower of \a table, or null if it is none that is followed here. */
-    const TableFollower *follower(std::string_view table) const;
+    TableFollower *follower(std::string_view table);
 
     /** \returns whether the store is reached. */
     bool isStoreReached() const;
--- a/src/libbulrushentry/peerdesk.cpp
+++ b/src/libbulrushentry/peerdesk.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/wholebody.h"
 #include "peerpaths.h"
+#include "process/hostclock.h"
 #include "version/loadsamplecodec.h"
 #include "version/renewalcodec.h"
 
@@ -26,9 +27,10 @@
 
 } // namespace
 
-PeerDesk::PeerDesk(KeyControl &keys, StatePublisher &state)
+PeerDesk::PeerDesk(KeyControl &keys, StatePublisher &state, io::LoopTimers &timers)
     : m_keys(keys)
     , m_state(state)
+    , m_feed(timers)
 { }
 
 std::error_code PeerDesk::listen(asio::io_context &loop, const Endpoint &address)
@@ -46,10 +48,13 @@
 {
     io::readWholeBody(request,
                       [this, request, writer](std::error_code error, const std::string &body) {
+                          const std::string &target = request->head().target;
                           if (error)
                               writer->send(textPage(badRequest, "body: not whole\n"));
+                          else if (target.starts_with(feedPath))
+                              takeFeedQuestion(target, writer);
                           else
-                              writer->send(answer(request->head().target, body));
+                              writer->send(answer(target, body));
                       });
 }
 
@@ -60,16 +65,30 @@
     if (target == grantsPath)
         return takeQuestion(body);
     if (target.starts_with(rowsPath)) {
-        const std::string table = target.substr(rowsPath.size());
-        const TableFollower *follower = m_state.follower(table);
-        if (!follower)
-            follower = m_keys.follower(table);
-        if (follower && follower->hasRows())
-            return jsonPage(follower->encodedRows());
+        const TableFollower *asked = follower(target.substr(rowsPath.size()));
+        if (asked && asked->hasRows())
+            return jsonPage(encodeRows(asked->allRows(io::hostNow())));
     }
     return textPage(notFound, "nothing is known here by that path\n");
 }
 
+void PeerDesk::takeFeedQuestion(const std::string &target,
+                                const std::shared_ptr<io::ResponseWriter> &writer)
+{
+    const auto question = feedQuestion(target);
+    TableFollower *asked = question ? follower(question->table) : nullptr;
+    if (asked)
+        m_feed.ask(*question, *asked, writer);
+    else
+        writer->send(textPage(notFound, "path: not a followed table, a version and a wait\n"));
+}
+
+TableFollower *PeerDesk::follower(std::string_view table)
+{
+    TableFollower *found = m_state.follower(table);
+    return found ? found : m_keys.follower(table);
+}
+
 io::HttpResponse PeerDesk::takeLoads(const std::string &body)
 {
     const auto samples = io::decodeLoadSamples(body);
--- a/src/libbulrushentry/peerdesk.h
+++ b/src/libbulrushentry/peerdesk.h
@@ -2,6 +2,7 @@
 
 #include "connection/callerserver.h"
 #include "keycontrol.h"
+#include "rowsfeed.h"
 #include "statepublisher.h"
 
 #include <asio/io_context.hpp>
@@ -13,15 +14,15 @@
 
 /**
  * Takes the messages of other daemons: loads that they saw, a planner's questions, and questions
- * for rows of the store by those that don't reach it.
+ * for rows of the store by those that don't reach it or follow them through this one.
  *
  * Used on the control thread.
  */
 class PeerDesk
 {
 public:
-    /** \pre both outlive this object */
-    PeerDesk(KeyControl &keys, StatePublisher &state);
+    /** \pre all outlive this object */
+    PeerDesk(KeyControl &keys, StatePublisher &state, io::LoopTimers &timers);
 
     /** Listens at \a address. \returns TransportError::ListenFailed if it can't be used. */
     std::error_code listen(asio::io_context &loop, const Endpoint &address);
@@ -30,11 +31,15 @@
     void take(const std::shared_ptr<io::IncomingRequest> &request,
               const std::shared_ptr<io::ResponseWriter> &writer);
     io::HttpResponse answer(const std::string &target, const std::string &body);
+    void takeFeedQuestion(const std::string &target,
+                          const std::shared_ptr<io::ResponseWriter> &writer);
+    TableFollower *follower(std::string_view table);
     io::HttpResponse takeLoads(const std::string &body);
     io::HttpResponse takeQuestion(const std::string &body);
 
     KeyControl &m_keys;
     StatePublisher &m_state;
+    RowsFeed m_feed;
     std::unique_ptr<io::CallerServer> m_server;
 };
 
--- a/src/libbulrushentry/rowscodec.cpp
+++ b/src/libbulrushentry/rowscodec.cpp
@@ -16,12 +16,15 @@
         entry["key"] = row.key;
         entry["value"] = row.value;
         entry["version"] = Json::UInt64{row.version};
+        if (row.isRemoved)
+            entry["removed"] = true;
         list.append(std::move(entry));
     }
     Json::Value json;
     json["rows"] = std::move(list);
     json["version"] = Json::UInt64{rows.version};
     json["age"] = io::jsonOf(rows.age);
+    json["whole"] = rows.isWhole;
     return io::compactText(json);
 }
 
@@ -32,13 +35,15 @@
     RelayedRows rows;
     rows.version = reader.number("version");
     rows.age = reader.span("age");
+    rows.isWhole = reader.flag("whole");
     for (const Json::Value &entry : reader.list("rows")) {
         io::JsonReader row{entry};
-        rows.rows.push_back({row.text("key"), row.text("value"), row.number("version"), false});
+        const bool isRemoved = entry.isObject() && entry["removed"].asBool();
+        rows.rows.push_back({row.text("key"), row.text("value"), row.number("version"), isRemoved});
         if (!row.isGood())
             return std::nullopt;
     }
-    if (!reader.isGood() || rows.age < Duration::zero())
+    if (!reader.isGood())
         return std::nullopt;
     return rows;
 }
--- a/src/libbulrushentry/rowscodec.h
+++ b/src/libbulrushentry/rowscodec.h
@@ -10,14 +10,19 @@
 
 namespace bulrush {
 
-/** The rows of a table as a daemon knows them, for another that does not reach the store. */
+/** The rows of a table as a daemon knows them, or what has changed of them, for another daemon. */
 struct RelayedRows
 {
     std::vector<platform::StoreRow> rows;
     /** Of the store. */
     std::uint64_t version = 0;
-    /** How long ago the call was sent by whose answer they were known to be all there are. */
+    /**
+     * How long before the question came the store told that these are all there are; negative if it
+     * told that while the question waited.
+     */
     Duration age{};
+    /** Whether these are all rows, and not only those that have changed. */
+    bool isWhole = true;
 };
 
 /** \returns the message of \a rows. Thread safe. */
--- /dev/null
+++ b/src/libbulrushentry/rowsfeed.cpp
@@ -0,0 +1,86 @@
+#include "rowsfeed.h"
+
+#include "connection/httpstatus.h"
+#include "peerpaths.h"
+#include "process/hostclock.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace bulrush {
+
+namespace {
+
+constexpr int ok = 200;
+constexpr int serviceUnavailable = 503;
+
+std::optional<std::uint64_t> numberOf(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const char *end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, number);
+    if (text.empty() || result.ec != std::errc{} || result.ptr != end)
+        return std::nullopt;
+    return number;
+}
+
+} // namespace
+
+std::optional<FeedQuestion> feedQuestion(std::string_view path)
+{
+    path.remove_prefix(feedPath.size());
+    const std::size_t first = path.find('/');
+    const std::size_t second = first == std::string_view::npos ? first : path.find('/', first + 1);
+    if (second == std::string_view::npos)
+        return std::nullopt;
+    const auto version = numberOf(path.substr(first + 1, second - first - 1));
+    const auto wait = numberOf(path.substr(second + 1));
+    if (first == 0 || !version || !wait)
+        return std::nullopt;
+    const auto longest =
+        static_cast<std::uint64_t>(RowsFeed::longestWait / std::chrono::milliseconds{1});
+    return FeedQuestion{std::string{path.substr(0, first)}, *version,
+                        std::chrono::milliseconds{std::min(*wait, longest)}};
+}
+
+RowsFeed::RowsFeed(io::LoopTimers &timers)
+{
+    timers.every(lookEvery, [this](Instant now) { look(now); });
+}
+
+void RowsFeed::ask(const FeedQuestion &question, TableFollower &follower,
+                   const std::shared_ptr<io::ResponseWriter> &writer)
+{
+    follower.setPublishedHandler([this] { look(io::hostNow()); });
+    const Instant now = io::hostNow();
+    m_held.push_back({question, &follower, writer, now});
+    look(now);
+}
+
+void RowsFeed::look(Instant now)
+{
+    // Answering may bring the next question, which must not meet a list that is being changed.
+    std::vector<Held> held = std::exchange(m_held, {});
+    for (Held &entry : held) {
+        if (!isAnswered(entry, now))
+            m_held.push_back(std::move(entry));
+    }
+}
+
+/** \returns whether \a held was answered, as there is news, no time left, or no store. */
+bool RowsFeed::isAnswered(const Held &held, Instant now)
+{
+    if (!held.follower->isServing(now)) {
+        held.writer->send(io::refusal(serviceUnavailable));
+        return true;
+    }
+    const bool hasNews = held.follower->version() > held.question.version;
+    if (!hasNews && now - held.askedAt < held.question.wait)
+        return false;
+    const RelayedRows rows = held.follower->rowsSince(held.question.version, held.askedAt);
+    held.writer->send({ok, {{"Content-Type", "application/json"}}, encodeRows(rows)});
+    return true;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/src/libbulrushentry/rowsfeed.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "connection/responsewriter.h"
+#include "process/looptimers.h"
+#include "tablefollower.h"
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace bulrush {
+
+/** What another daemon asks for when it follows rows through this one. */
+struct FeedQuestion
+{
+    std::string table;
+    /** Up to which the other one knows the rows. */
+    std::uint64_t version = 0;
+    /** How long it may be held if there is no news. */
+    Duration wait{};
+};
+
+/** \returns the question in \a path, which begins with feedPath, or nothing if it is none. */
+std::optional<FeedQuestion> feedQuestion(std::string_view path);
+
+/**
+ * Serves changes of rows to the daemons that follow them through this one: holds their questions
+ * until there is news, their time is over, or the store is no longer reached here.
+ *
+ * Used on the control thread.
+ */
+class RowsFeed
+{
+public:
+    /** The longest that a question is held, whatever it asks for. */
+    static constexpr Duration longestWait = std::chrono::seconds{5};
+    /** How often held questions are looked at. */
+    static constexpr Duration lookEvery = std::chrono::milliseconds{50};
+
+    /** \pre \a timers outlives this object */
+    explicit RowsFeed(io::LoopTimers &timers);
+
+    RowsFeed(const RowsFeed &) = delete;
+    RowsFeed &operator=(const RowsFeed &) = delete;
+
+    /** Answers \a question by the rows of \a follower, now or later. */
+    void ask(const FeedQuestion &question, TableFollower &follower,
+             const std::shared_ptr<io::ResponseWriter> &writer);
+
+private:
+    struct Held
+    {
+        FeedQuestion question;
+        const TableFollower *follower;
+        std::shared_ptr<io::ResponseWriter> writer;
+        Instant askedAt;
+    };
+
+    /** Answers what can be answered now. */
+    void look(Instant now);
+    static bool isAnswered(const Held &held, Instant now);
+
+    std::vector<Held> m_held;
+};
+
+} // namespace bulrush
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -28,7 +28,7 @@
     , m_servers(parts, std::string{platform::serverTable}, serverPace)
 { }
 
-const TableFollower *StatePublisher::follower(std::string_view table) const
+TableFollower *StatePublisher::follower(std::string_view table)
 {
     if (table == m_configs.table())
         return &m_configs;
--- a/src/libbulrushentry/statepublisher.h
+++ b/src/libbulrushentry/statepublisher.h
@@ -38,7 +38,7 @@
     void advance(Instant now);
 
     /** \returns the follower of \a table, or null if it is none that is followed here. */
-    const TableFollower *follower(std::string_view table) const;
+    TableFollower *follower(std::string_view table);
 
     const ServerDirectory &directory() const;
 
--- a/src/libbulrushentry/tablefollower.cpp
+++ b/src/libbulrushentry/tablefollower.cpp
@@ -8,11 +8,19 @@
 
 namespace bulrush {
 
+namespace {
+
+constexpr std::string_view storeSource = "store";
+
+} // namespace
+
 TableFollower::TableFollower(const FollowParts &parts, std::string table, FollowPace pace)
     : m_parts(parts)
     , m_table(std::move(table))
     , m_pace(pace)
-{ }
+{
+    m_parts.group.add(*this);
+}
 
 void TableFollower::start(ChangeHandler changed, AnswerHandler answered)
 {
@@ -31,13 +39,64 @@
 
 void TableFollower::follow()
 {
-    const Instant sentAt = io::hostNow();
-    m_parts.store.follow(m_table, m_version, m_pace.wait,
-                         [this, sentAt](platform::RowsOutcome outcome) {
-                             taken(std::move(outcome), false, sentAt);
+    if (const auto reader = m_parts.readers.reader(io::hostNow()))
+        followReader(*reader);
+    else
+        followStore();
+}
+
+void TableFollower::followReader(const RowsReader &reader)
+{
+    noteSource(reader.host.value());
+    m_parts.relay.follow(reader.address, m_table, m_version,
+                         [this, reader](std::optional<RelayedRows> rows, Instant asOf) {
+                             takenFromReader(reader, std::move(rows), asOf);
                          });
 }
 
+void TableFollower::takenFromReader(const RowsReader &reader, std::optional<RelayedRows> rows,
+                                    Instant asOf)
+{
+    if (!rows) {
+        m_parts.readers.failed(reader.host, io::hostNow());
+        followStore();
+        return;
+    }
+    m_parts.readers.served(reader.host);
+    m_knownAt = std::max(m_knownAt, asOf);
+    // A reader that knows less than this daemon did when it asked has no rows for it.
+    if (rows->version > m_version) {
+        const platform::RowsOutcome outcome{{}, std::move(rows->rows), rows->version};
+        m_version = rows->version;
+        remember(outcome, rows->isWhole);
+        m_answered(asOf);
+        if (rows->isWhole || !outcome.rows.empty())
+            m_changed({outcome.rows, m_version, rows->isWhole, false});
+    } else {
+        m_answered(asOf);
+    }
+    follow();
+}
+
+void TableFollower::noteSource(const std::string &source)
+{
+    if (std::exchange(m_source, source) == source)
+        return;
+    io::logEvent(LogLevel::Info, "rows-source", {{"table", m_table}, {"source", source}});
+    published();
+}
+
+void TableFollower::followStore()
+{
+    noteSource(std::string{storeSource});
+    const Instant sentAt = io::hostNow();
+    m_wait = m_parts.store.follow(m_table, m_version, m_pace.wait,
+                                  [this, sentAt](platform::RowsOutcome outcome) {
+                                      m_wait.reset();
+                                      taken(std::move(outcome), false, sentAt);
+                                  });
+}
+
 void TableFollower::taken(platform::RowsOutcome outcome, bool isWhole, Instant sentAt)
 {
     if (outcome.error == platform::StoreError::HistoryGone) {
@@ -63,20 +122,34 @@
     if (isWhole || !outcome.rows.empty())
         m_changed({std::move(outcome.rows), m_version, isWhole,
                    wasFailing && now - m_failingSince > outage});
+    published();
     if (m_pace.pause > Duration::zero() && !isWhole)
         m_parts.timers.after(m_pace.pause, [this](Instant) { follow(); });
     else
         follow();
 }
 
+void TableFollower::askAnew()
+{
+    if (!m_wait)
+        return;
+    m_parts.store.cancel(*m_wait);
+    m_wait.reset();
+    failed(platform::StoreError::Unknown);
+}
+
 void TableFollower::failed(std::error_code error)
 {
+    const bool isFirst = !m_isFailing;
     if (!std::exchange(m_isFailing, true)) {
         m_failingSince = io::hostNow();
         io::logEvent(LogLevel::Warning, "store-lost",
                      {{"table", m_table}, {"error", error.message()}});
+        published();
         askPeers();
     }
+    if (isFirst && error == platform::StoreError::Unknown)
+        m_parts.group.storeSilent(*this);
     // Changes may have been missed: everything is read again.
     m_parts.timers.after(m_retry, [this](Instant) { read(); });
     m_retry = std::min(m_retry * 2, longestRetry);
@@ -84,13 +157,22 @@
 
 void TableFollower::remember(const platform::RowsOutcome &outcome, bool isWhole)
 {
-    if (isWhole)
+    if (isWhole) {
         m_rows.clear();
+        m_removed.clear();
+        m_removedSince = outcome.version;
+    }
     for (const platform::StoreRow &row : outcome.rows) {
-        if (row.isRemoved)
+        if (row.isRemoved) {
             m_rows.erase(row.key);
-        else
+            m_removed.push_back(row);
+        } else {
             m_rows[row.key] = row;
+        }
+    }
+    if (m_removed.size() > mostRemoved) {
+        m_removed.clear();
+        m_removedSince = m_version;
     }
     m_hasRows = true;
 }
@@ -119,12 +201,40 @@
     m_changed({outcome.rows, m_version, true, false});
 }
 
-std::string TableFollower::encodedRows() const
+bool TableFollower::isServing(Instant now) const
+{
+    return m_hasRows && !m_parts.group.isAnyCutOff() && m_source == storeSource
+        && now - m_parts.clock.newestGiven() < longestSilence;
+}
+
+void TableFollower::published()
+{
+    if (m_published)
+        m_published();
+}
+
+RelayedRows TableFollower::allRows(Instant askedAt) const
 {
-    RelayedRows relayed{{}, m_version, io::hostNow() - m_knownAt};
+    RelayedRows relayed{{}, m_version, askedAt - m_knownAt, true};
     for (const auto &[key, row] : m_rows)
         relayed.rows.push_back(row);
-    return encodeRows(relayed);
+    return relayed;
+}
+
+RelayedRows TableFollower::rowsSince(std::uint64_t version, Instant askedAt) const
+{
+    if (version < m_removedSince)
+        return allRows(askedAt);
+    RelayedRows changes{{}, m_version, askedAt - m_knownAt, false};
+    for (const platform::StoreRow &row : m_removed) {
+        if (row.version > version)
+            changes.rows.push_back(row);
+    }
+    for (const auto &[key, row] : m_rows) {
+        if (row.version > version)
+            changes.rows.push_back(row);
+    }
+    return changes;
 }
 
 } // namespace bulrush
--- a/src/libbulrushentry/tablefollower.h
+++ b/src/libbulrushentry/tablefollower.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include "followergroup.h"
 #include "platform/storeclient.h"
 #include "process/looptimers.h"
+#include "process/readerchoice.h"
 #include "process/storeclock.h"
 #include "rowsrelay.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,12 +42,15 @@
     io::LoopTimers &timers;
     RowsRelay &relay;
     StoreClock &clock;
+    ReaderChoice &readers;
+    FollowerGroup &group;
 };
 
 /**
  * Keeps up with one table of the store: reads it, then waits for changes, and starts over where
- * changes may have been missed. While the store is not reached, other daemons are asked for the
- * rows that they know.
+ * changes may have been missed. Changes are waited for at the store, or at the daemon that reads
+ * for the failure domain. While the store is not reached, other daemons are asked for the rows
+ * that they know.
  *
  * Used on the loop's thread; the handlers run there.
  */
@@ -69,9 +75,26 @@
     TableFollower(const TableFollower &) = delete;
     TableFollower &operator=(const TableFollower &) = delete;
 
+    /**
+     * How long ago the store's last answer may be for this daemon to serve others: answers are some
+     * 1.2 s apart at most while all is well, and others have to hear of changes within two seconds.
+     */
+    static constexpr Duration longestSilence = std::chrono::milliseconds{1500};
+    /** Removed rows that are remembered, so that others can follow by changes. */
+    static constexpr std::size_t mostRemoved = 1000;
+
+    /** Told whenever rows may have changed, or are no longer served to others. */
+    using PublishedHandler = std::function<void()>;
+
+    /** Sets who is told. */
+    void setPublishedHandler(PublishedHandler handler);
+
     /** Starts to follow. Called once. */
     void start(ChangeHandler changed, AnswerHandler answered);
 
+    /** Gives up a wait for changes at the store, which may be lost, and reads all rows. */
+    void askAnew();
+
     /** \returns whether the last call failed. */
     bool isCutOff() const;
 
@@ -80,8 +103,17 @@
     /** \returns whether the rows are known. */
     bool hasRows() const;
 
-    /** \returns the rows as a message to another daemon. \pre hasRows() */
-    std::string encodedRows() const;
+    /** \returns whether this daemon follows the store itself, and reaches it. */
+    bool isServing(Instant now) const;
+
+    /** \returns the version of the store up to which the rows are known. */
+    std::uint64_t version() const;
+
+    /** \returns all rows, for a question that came at \a askedAt. \pre hasRows() */
+    RelayedRows allRows(Instant askedAt) const;
+
+    /** \returns what has changed after \a version, or all rows. \pre hasRows() */
+    RelayedRows rowsSince(std::uint64_t version, Instant askedAt) const;
 
 private:
     void remember(const platform::RowsOutcome &outcome, bool isWhole);
@@ -89,6 +121,11 @@
     void relayed(RelayedRows rows, Instant asOf);
     void read();
     void follow();
+    void followStore();
+    void followReader(const RowsReader &reader);
+    void takenFromReader(const RowsReader &reader, std::optional<RelayedRows> rows, Instant asOf);
+    void noteSource(const std::string &source);
+    void published();
     void taken(platform::RowsOutcome outcome, bool isWhole, Instant sentAt);
     void failed(std::error_code error);
 
@@ -97,11 +134,19 @@
     FollowPace m_pace;
     ChangeHandler m_changed;
     AnswerHandler m_answered;
+    PublishedHandler m_published;
     std::map<std::string, platform::StoreRow> m_rows;
+    /** Rows that were removed after m_removedSince. */
+    std::vector<platform::StoreRow> m_removed;
+    std::uint64_t m_removedSince = 0;
+    /** Whom changes come from: "store", or a host. */
+    std::string m_source = "store";
     std::uint64_t m_version = 0;
     /** When the store, asked here or by another daemon, told last that there are no other rows. */
     Instant m_knownAt;
     bool m_hasRows = false;
+    /** The wait for changes at the store, while there is one. */
+    std::optional<platform::StoreClient::CallId> m_wait;
     Duration m_retry = firstRetry;
     Instant m_failingSince;
     bool m_isFailing = false;
@@ -117,6 +162,16 @@
     return m_hasRows;
 }
 
+inline std::uint64_t TableFollower::version() const
+{
+    return m_version;
+}
+
+inline void TableFollower::setPublishedHandler(PublishedHandler handler)
+{
+    m_published = std::move(handler);
+}
+
 inline bool TableFollower::isCutOff() const
 {
     return m_isFailing;
--- a/src/libbulrushio/version/renewalcodec.cpp
+++ b/src/libbulrushio/version/renewalcodec.cpp
@@ -82,6 +82,7 @@
     Json::Value json;
     json["incarnation"] = row.incarnation.value();
     json["address"] = toString(row.address);
+    json["domain"] = row.domain.value();
     return compactText(json);
 }
 
@@ -95,6 +96,9 @@
     if (!reader.isGood() || !address)
         return std::nullopt;
     row.address = *address;
+    // Daemons of before wrote none; they are followed by nobody.
+    if (json["domain"].isString())
+        row.domain = DomainName{json["domain"].asString()};
     return row;
 }
 
--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -248,6 +248,11 @@
     control(json);
 }
 
+std::uint64_t EntryFleet::storeCalls(const std::string &host)
+{
+    return control(Json::Value{Json::objectValue})["calls"][host].asUInt64();
+}
+
 void EntryFleet::spoilAnswers(const std::string &id, const std::string &how, int count)
 {
     Json::Value json;
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -93,6 +93,9 @@
                        int delayWrites = 0);
     void dropHistory();
 
+    /** \returns how many calls \a host's daemon has made to the store. */
+    std::uint64_t storeCalls(const std::string &host);
+
     /** Has the server spoil \a count of its next answers: "lose", "cut", "unframed", "twice". */
     void spoilAnswers(const std::string &id, const std::string &how, int count);
 
--- /dev/null
+++ b/tests/entryfleet/test_entryreaders.cpp
@@ -0,0 +1,139 @@
+#define BOOST_TEST_MODULE EntryReaders
+
+#include "entryfleet/entryfleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace bulrush::test;
+using namespace std::chrono_literals;
+
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+const std::vector<std::string> hosts{"a1", "a2", "a3"};
+constexpr const char *versionInForce = "bulrush_config_version";
+
+/** Three daemons of one failure domain; one of them reads the store for all. */
+struct DomainFleet : EntryFleet
+{
+    DomainFleet()
+        : EntryFleet(hosts)
+    {
+        writeConfig();
+        startServers();
+        startDaemons();
+        awaitServing();
+        // The planner settles, and all choose their reader.
+        std::this_thread::sleep_for(3s);
+    }
+
+    std::map<std::string, std::uint64_t> callsWithin(std::chrono::milliseconds span)
+    {
+        std::map<std::string, std::uint64_t> calls;
+        for (const std::string &host : hosts)
+            calls[host] = storeCalls(host);
+        std::this_thread::sleep_for(span);
+        for (const std::string &host : hosts)
+            calls[host] = storeCalls(host) - calls[host];
+        return calls;
+    }
+
+    /** \returns the host that calls the store most. */
+    std::string reader()
+    {
+        const auto calls = callsWithin(4s);
+        return std::ranges::max_element(calls, {}, [](const auto &entry) { return entry.second; })
+            ->first;
+    }
+
+    /** Checks that all but \a lost follow a new configuration within two seconds. */
+    void requireFollowed(const std::string &lost)
+    {
+        writeConfig({"/added" + std::to_string(configVersion()) + "/"});
+        const auto written = Clock::now();
+        for (const std::string &host : hosts) {
+            if (host == lost)
+                continue;
+            BOOST_TEST(
+                eventually([&] { return counter(host, versionInForce) == configVersion(); }));
+        }
+        const auto took = Clock::now() - written;
+        BOOST_TEST((took < 2s), "took " << std::chrono::duration<double>(took).count() << " s");
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(oneDaemonOfADomainReadsForAll, DomainFleet)
+{
+    const auto calls = callsWithin(8s);
+    int readers = 0;
+    for (const auto &[host, count] : calls)
+        readers += count >= 8 ? 1 : 0;
+    BOOST_TEST(readers == 1);
+    std::uint64_t all = 0;
+    for (const auto &[host, count] : calls)
+        all += count;
+    // One reader's waits of a second or less, and the writes of the planner's lease.
+    BOOST_TEST(all <= 32U);
+    requireFollowed("");
+}
+
+BOOST_FIXTURE_TEST_CASE(changesAreFollowedInTimeWhileTheReaderIsFrozen, DomainFleet)
+{
+    const std::string frozen = reader();
+    daemon(frozen).stop();
+    requireFollowed(frozen);
+    daemon(frozen).resume();
+    requireFollowed("");
+}
+
+BOOST_FIXTURE_TEST_CASE(changesAreFollowedInTimeWhileTheReaderReachesNoStore, DomainFleet)
+{
+    for (const std::string mode : {"silent", "busy"}) {
+        const std::string cut = reader();
+        setStoreFault(cut, mode);
+        requireFollowed(cut);
+        setStoreFault(cut, "ok");
+        std::this_thread::sleep_for(3s);
+        requireFollowed("");
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(anotherReadsOnceTheReaderIsLost, DomainFleet)
+{
+    const std::string lost = reader();
+    daemon(lost).kill();
+    requireFollowed(lost);
+    std::this_thread::sleep_for(6s);
+    auto calls = callsWithin(6s);
+    calls.erase(lost);
+    const auto [least, most] =
+        std::ranges::minmax_element(calls, {}, [](const auto &entry) { return entry.second; });
+    BOOST_TEST(most->second > 2 * least->second);
+    startDaemon(lost);
+    BOOST_TEST(eventually([&] { return servesKeys(lost); }));
+    requireFollowed("");
+}
+
+BOOST_FIXTURE_TEST_CASE(aServerThatDrainsIsLeftInTimeByThoseWhoFollowTheReader, DomainFleet)
+{
+    writeRecord("p1", "draining");
+    const auto told = Clock::now();
+    std::this_thread::sleep_until(told + 2s);
+    const std::size_t before = runs().size();
+    for (int i = 0; i < 30; ++i)
+        BOOST_TEST(send(hosts[i % hosts.size()], "POST", "/pay/x", std::nullopt, "x").status
+                   == 200);
+    const std::vector<EntryRun> all = runs();
+    for (std::size_t i = before; i < all.size(); ++i)
+        BOOST_TEST(all[i].server != "p1");
+}
