Say "not run" only where it is true, and deliver a failed server's answer

Cause: an idempotent request whose server had failed it (500) and that was queued again but got no other server was refused as not run, and the answer that was there was thrown away. A request whose time was up while its connection was still being opened was told "unknown" although nothing of it had gone out. Change: repeatElsewhere() notes that a request may have run, for both ends that had the branch of their own; the failed server's answer is kept and delivered if none does better; ServerClient::isSent tells whether a call has gone out.

--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -227,12 +227,10 @@
     // An encoded body was not asked for, so it is not what the server meant to send.
     const bool isGarbled = io::findField(response.headers, "Content-Encoding") != nullptr;
     if (isGarbled || isFailure) {
-        m_context.counters.add(EntryCounter::AttemptsFailed);
-        if (m_route->kind == RequestKind::Idempotent && mayRepeat()) {
-            m_tried.push_back(m_server);
-            if (retryLater(Duration::zero()))
-                return;
-        }
+        if (!isGarbled)
+            m_failure = response;
+        if (repeatElsewhere())
+            return;
     }
     if (isGarbled)
         endUnknown(badGateway, "answer-encoded");
@@ -260,20 +258,21 @@
         refuseNotRun("server-unreachable");
         return;
     }
-    m_context.counters.add(EntryCounter::AttemptsFailed);
-    m_mayHaveRun = true;
-    if (m_route->kind == RequestKind::Idempotent && mayRepeat()) {
-        m_tried.push_back(m_server);
-        if (retryLater(Duration::zero()))
-            return;
-    }
-    endUnknown(badGateway, "answer-lost");
+    if (!repeatElsewhere())
+        endUnknown(badGateway, "answer-lost");
 }
 
-/** \returns whether a request that may have run can be sent to one more server. */
-bool ForwardExchange::mayRepeat()
+/** Queues a request again that may have run. \returns false if it is not to be sent any more. */
+bool ForwardExchange::repeatElsewhere()
 {
-    return static_cast<std::uint32_t>(m_attempts) < m_route->maxAttempts;
+    m_context.counters.add(EntryCounter::AttemptsFailed);
+    m_mayHaveRun = true;
+    const bool mayRepeat = m_route->kind == RequestKind::Idempotent
+        && static_cast<std::uint32_t>(m_attempts) < m_route->maxAttempts;
+    if (!mayRepeat)
+        return false;
+    m_tried.push_back(m_server);
+    return retryLater(Duration::zero());
 }
 
 /** Queues the request again. \returns false if it is not to be sent any more. */
@@ -329,6 +328,11 @@
 
 void ForwardExchange::endUnknown(int status, std::string_view reason)
 {
+    // A server's own word on what became of the request is better than none.
+    if (m_failure) {
+        returnAnswer(*std::exchange(m_failure, std::nullopt));
+        return;
+    }
     m_context.counters.add(EntryCounter::EndedUnknown);
     log("unknown", status, reason);
     m_writer->send(io::refusal(status));
@@ -357,7 +361,7 @@
     m_timeout.reset();
     if (m_isOver)
         return;
-    if (m_call)
+    if (m_call && m_context.servers.isSent(*m_call))
         m_mayHaveRun = true;
     refuse("time-is-up");
 }
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -46,7 +46,7 @@
     void attemptEnded(const io::HttpResult &result);
     void answered(const io::HttpResult &result);
     void broke(const io::HttpResult &result);
-    bool mayRepeat();
+    bool repeatElsewhere();
     bool retryLater(Duration delay);
     void returnAnswer(const io::HttpResponse &response);
     void refuseNotRun(std::string_view reason);
@@ -80,6 +80,8 @@
     ServerName m_server;
     Instant m_sentAt;
     std::optional<io::ServerClient::CallId> m_call;
+    /** The answer of a server that failed, in case no other one does better. */
+    std::optional<io::HttpResponse> m_failure;
     /** An attempt ended so that the request may have run. */
     bool m_mayHaveRun = false;
     bool m_isOver = false;
--- a/src/libbulrushio/connection/serverclient.cpp
+++ b/src/libbulrushio/connection/serverclient.cpp
@@ -65,13 +65,11 @@
         connection->close();
 }
 
-void ServerClient::closeIdle(const Endpoint &server)
+bool ServerClient::isSent(CallId id) const
 {
-    const auto waiting = m_pool->idle.find(server);
-    if (waiting == m_pool->idle.end())
-        return;
-    for (const ConnectionPtr &connection : std::vector{waiting->second})
-        connection->close();
+    const auto call = m_calls.find(id);
+    const ConnectionPtr connection = call == m_calls.end() ? nullptr : call->second.lock();
+    return connection && connection->stage() != TransferStage::NotConnected;
 }
 
 ConnectionPtr ServerClient::connectionTo(const Endpoint &server)
--- a/src/libbulrushio/connection/serverclient.h
+++ b/src/libbulrushio/connection/serverclient.h
@@ -40,8 +40,8 @@
     /** Ends a call: its connection is closed, its handler not called any more. */
     void cancel(CallId id);
 
-    /** Closes the idle connections to \a server. */
-    void closeIdle(const Endpoint &server);
+    /** \returns whether any of an open call may have gone out; false if it is not open. */
+    bool isSent(CallId id) const;
 
     /** \returns how many connections were opened so far. */
     std::uint64_t openedCount() const;
--- a/src/libbulrushio/connection/serverconnection.h
+++ b/src/libbulrushio/connection/serverconnection.h
@@ -48,6 +48,9 @@
     /** \returns until when the connection may be used again. \pre isFree() */
     Instant idleUntil() const;
 
+    /** \returns how far the call on it has come. */
+    TransferStage stage() const;
+
 private:
     void connect();
     void connected(std::error_code error);
@@ -84,6 +87,11 @@
     bool m_isClosed = false;
 };
 
+inline TransferStage ServerConnection::stage() const
+{
+    return m_stage;
+}
+
 inline const Endpoint &ServerConnection::server() const
 {
     return m_server;
--- a/tests/entryfleet/test_entryanswers.cpp
+++ b/tests/entryfleet/test_entryanswers.cpp
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace bulrush::test;
 using namespace std::chrono_literals;
@@ -207,3 +208,56 @@
     BOOST_TEST(fleet.send("a1", "POST", "/pay/x", std::nullopt, "euro=1").status == 200);
     BOOST_TEST(heads == 2);
 }
+
+BOOST_AUTO_TEST_CASE(theAnswerOfAServerThatFailedIsDeliveredIfNoOtherDoesBetter)
+{
+    std::atomic<int> heads = 0;
+    ScriptedFleet fleet{[&heads](Socket &socket, int) -> asio::awaitable<void> {
+        std::string buffer;
+        for (;;) {
+            const std::string head = co_await ScriptedServer::readHead(socket, buffer);
+            ++heads;
+            co_await ScriptedServer::write(
+                socket,
+                answerTo(idOf(head), 500, "X-Bulrushswitch-Response-Stamp: s\r\n", "broke"));
+        }
+    }};
+    fleet.writeConfig({"/new/"});
+    BOOST_TEST(
+        EntryFleet::eventually([&] { return fleet.send("a1", "GET", "/new/x").status != 404; }));
+    // Some of them are tried again, as they earn retries, and there is no second server to ask.
+    for (int i = 0; i < 30; ++i) {
+        const SyncHttpResult result = fleet.send("a1", "GET", "/new/x");
+        // It has run, so that "not run" would not be true.
+        BOOST_TEST(result.status == 500);
+        BOOST_TEST(result.body == "broke");
+        BOOST_TEST(result.header("X-Bulrushswitch-Response-Stamp").has_value());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aRequestThatFoundNoConnectionByItsDeadlineHasNotRun)
+{
+    // A host that takes no connection: its queue of one is full.
+    asio::io_context loop;
+    asio::ip::tcp::acceptor full{loop};
+    full.open(asio::ip::tcp::v4());
+    full.bind({asio::ip::address_v4::loopback(), 0});
+    full.listen(0);
+    std::vector<asio::ip::tcp::socket> waiting;
+    for (int i = 0; i < 4; ++i) {
+        waiting.emplace_back(loop);
+        waiting.back().async_connect(full.local_endpoint(), [](const asio::error_code &) {});
+    }
+    loop.run_for(100ms);
+    EntryFleet fleet{{"a1"}};
+    fleet.writeConfig();
+    fleet.startServer({"c1", "catalogue", "a", true});
+    fleet.writeRecordOf({"p0", "payments", "a"},
+                        "127.0.0.1:" + std::to_string(full.local_endpoint().port()));
+    fleet.startDaemons();
+    fleet.awaitServing();
+    const auto start = std::chrono::steady_clock::now();
+    const SyncHttpResult result = fleet.send("a1", "POST", "/pay/x", std::nullopt, "euro=1", 250);
+    BOOST_TEST(result.status == 503);
+    BOOST_TEST((std::chrono::steady_clock::now() - start < 1s));
+}
