Have three daemons of a domain renew each server

Change: three daemons, chosen by a hash of host and server; the planner renews servers of domains with fewer than five daemons, which may be lost together, and leaves the others to them. Where a domain has three daemons or fewer all renew, as before. Test first: eachServerOfTheDomainIsRenewedByThreeDaemons (25 a server before).

--- a/src/libbulrush/process/keyrenewal.h
+++ b/src/libbulrush/process/keyrenewal.h
@@ -3,9 +3,11 @@
 #include "process/clock.h"
 #include "process/keyaction.h"
 #include "process/keytimings.h"
+#include "process/renewerbook.h"
 #include "process/serverdirectory.h"
 #include "version/keyassignment.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -16,7 +18,8 @@
 
 /**
  * Which grants a daemon sends, and when. Renewing what an assignment says is idempotent: any daemon
- * may do it, so each renews the servers of its own failure domain and the planner renews all.
+ * may do it, so a few of its failure domain renew each server, and where a domain has few daemons,
+ * which may be lost together, the planner renews its servers as well.
  *
  * What keeps it safe: a daemon stops when it has not heard from the store for a while, as the
  * assignment may have changed meanwhile. A planner that can't reach the last owner of a range waits
@@ -28,7 +31,15 @@
 class KeyRenewal
 {
 public:
-    KeyRenewal(DomainName ownDomain, const KeyTimings &timings);
+    /** Daemons of a domain that renew a server: one may be lost, and one frozen or cut off. */
+    static constexpr std::size_t renewersPerServer = 3;
+    /** The planner renews the servers of domains with fewer daemons than this. */
+    static constexpr std::size_t fewDaemons = 5;
+
+    KeyRenewal(HostName self, DomainName ownDomain, const KeyTimings &timings);
+
+    /** Takes in the daemons that have rows. */
+    void setDaemons(const std::map<HostName, Renewer> &daemons);
 
     /** Takes in the assignments in force. */
     void setAssignment(const KeyAssignment &assignment);
@@ -55,8 +66,11 @@
     using GrantKey = std::tuple<ServiceName, KeyPlace, KeyPlace, ServerName, std::uint64_t>;
 
     bool isDueAgain(Instant sentAt, Instant now) const;
+    bool isRenewerOf(const ServerRecord &server) const;
 
+    HostName m_self;
     DomainName m_ownDomain;
+    std::map<DomainName, std::vector<HostName>> m_daemons;
     KeyTimings m_timings;
     std::map<ServiceName, KeyAssignment> m_assignments;
     std::map<GrantKey, Instant> m_sentAt;
