Don't press a store that refuses

Cause: a planner's write that was refused was due again as soon as it had ended, and so was a commit that settles a move: on loopback 397,980 calls in an outage of 8 s. Change: a write of the lease that was not done is repeated after 0.4 s, a commit planned anew after 0.3 s; no commit while the lease is being renewed, which was refused each time. Test first: aStoreThatRefusesIsNotPressed.

--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -77,7 +77,12 @@
 {
     m_committing.erase(next.service);
     // What failed, or may have been done, is planned again from the row, which its feed brings.
-    return end == RowWriteEnd::Done && assignmentSeen(next, version, now);
+    if (end != RowWriteEnd::Done) {
+        m_commitAgainAt[next.service] = now + commitAgain;
+        return false;
+    }
+    m_commitAgainAt.erase(next.service);
+    return assignmentSeen(next, version, now);
 }
 
 void KeyCoordinator::released(const SendRelease &release, std::string handover, Instant now)
@@ -200,7 +205,7 @@
     if (isRoundDue)
         m_plannedAt = now;
     for (const ServiceName &service : keyed) {
-        if (m_committing.contains(service))
+        if (!mayCommit(service, now))
             continue;
         auto next = nextAssignment(service, servers, isRoundDue, now);
         if (!next)
@@ -247,6 +252,15 @@
         m_moves.setAssignment(held.assignment, held.version, now);
 }
 
+bool KeyCoordinator::mayCommit(const ServiceName &service, Instant now) const
+{
+    // While the lease is being renewed, the version that a commit would be bound to is changing.
+    if (m_committing.contains(service) || m_lease.isWriting())
+        return false;
+    const auto again = m_commitAgainAt.find(service);
+    return again == m_commitAgainAt.end() || now >= again->second;
+}
+
 std::optional<KeyAssignment> KeyCoordinator::nextAssignment(const ServiceName &service,
                                                             const ServerDirectory &servers,
                                                             bool isRoundDue, Instant now)
--- a/src/libbulrush/process/keycoordinator.h
+++ b/src/libbulrush/process/keycoordinator.h
@@ -57,6 +57,9 @@
     /** Share of the load that a server gets while it is cold, of what it gets later. */
     static constexpr double coldCapacity = 0.6;
 
+    /** A commit that was not done is planned anew after this: refused calls are priced as well. */
+    static constexpr Duration commitAgain = std::chrono::milliseconds{300};
+
     /** How often a row that is missing is written anew. */
     static constexpr Duration registerAgain = std::chrono::milliseconds{500};
 
@@ -148,6 +151,7 @@
     };
 
     void notePlanning(Instant now);
+    bool mayCommit(const ServiceName &service, Instant now) const;
     bool isRegistered() const;
     std::optional<WriteDaemonRow> dueRegistration(Instant now);
     void planActions(const ServerDirectory &servers, std::span<const ServiceName> keyed,
@@ -169,6 +173,8 @@
     std::map<ServiceName, ServiceLoad> m_loads;
     /** Services with a commit that has not ended. */
     std::set<ServiceName> m_committing;
+    /** Services whose last commit was not done, and from when on they are looked at again. */
+    std::map<ServiceName, Instant> m_commitAgainAt;
     Instant m_plannedAt;
     /** Of the store, up to which all rows were seen. */
     std::uint64_t m_seenVersion = 0;
--- a/src/libbulrush/process/plannerlease.cpp
+++ b/src/libbulrush/process/plannerlease.cpp
@@ -28,6 +28,8 @@
 void PlannerLease::writeEnded(RowWriteEnd end, std::uint64_t version, Instant now)
 {
     const std::optional<PlannerRowWrite> write = std::exchange(m_pending, std::nullopt);
+    if (end != RowWriteEnd::Done)
+        m_retryAt = now + retryEvery;
     if (!write || end != RowWriteEnd::Done)
         return;
     if (version > m_version) {
@@ -41,7 +43,7 @@
 
 std::optional<PlannerRowWrite> PlannerLease::advance(Instant now)
 {
-    if (!m_isKnown || m_pending || !isDue(now))
+    if (!m_isKnown || m_pending || now < m_retryAt || !isDue(now))
         return std::nullopt;
     PlannerRow next{m_self, m_address, m_row.renewals + 1};
     if (m_isResigning)
--- a/src/libbulrush/process/plannerlease.h
+++ b/src/libbulrush/process/plannerlease.h
@@ -55,6 +55,9 @@
     /** A row unchanged for this time may be taken over; above the tenure, whatever the clocks. */
     static constexpr Duration takeover = std::chrono::milliseconds{3900};
 
+    /** A write that was not done is repeated after this: refused calls are priced as well. */
+    static constexpr Duration retryEvery = std::chrono::milliseconds{400};
+
     /** \a patience, which differs between daemons, is waited for beyond the takeover time. */
     PlannerLease(Incarnation self, Endpoint address, Duration patience);
 
@@ -73,6 +76,9 @@
     /** \returns whether this daemon may plan at \a now. */
     bool isHeld(Instant now) const;
 
+    /** \returns whether a write has not ended, so that the row's version may be changing. */
+    bool isWriting() const;
+
     /** \returns the row as it was last seen. */
     const PlannerRow &row() const;
 
@@ -93,6 +99,8 @@
     std::optional<Instant> m_renewedAt;
     std::optional<PlannerRowWrite> m_pending;
     Instant m_sentAt;
+    /** After a write that was not done, or may not have been. */
+    Instant m_retryAt;
     bool m_isResigning = false;
 };
 
@@ -101,6 +109,11 @@
     m_isResigning = true;
 }
 
+inline bool PlannerLease::isWriting() const
+{
+    return m_pending.has_value();
+}
+
 inline const PlannerRow &PlannerLease::row() const
 {
     return m_row;
--- a/tests/entryfleet/test_entryoutage.cpp
+++ b/tests/entryfleet/test_entryoutage.cpp
@@ -4,8 +4,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstdint>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace bulrush::test;
 using namespace std::chrono_literals;
@@ -34,3 +36,26 @@
     }
     BOOST_TEST(firstOverlap() == "");
 }
+
+BOOST_FIXTURE_TEST_CASE(aStoreThatRefusesIsNotPressed, ServingFleet)
+{
+    const std::vector<std::string> hosts{"a1", "a2", "b1"};
+    const auto calls = [&] {
+        std::uint64_t sum = 0;
+        for (const std::string &host : hosts)
+            sum += storeCalls(host);
+        return sum;
+    };
+    // A move is due, and the lease is to be renewed, all through the outage.
+    const std::string owner = ownerOf("a1", 0);
+    setStoreFault("*", "busy");
+    writeRecord(owner, "draining");
+    const std::uint64_t before = calls();
+    std::this_thread::sleep_for(8s);
+    const std::uint64_t made = calls() - before;
+    // Each follower of a table asks every 0.8 s, each daemon tries for the lease every 0.4 s.
+    BOOST_TEST(made <= 3U * (3 * 14 + 24));
+    BOOST_TEST(made >= 30U);
+    setStoreFault("*", "ok");
+    BOOST_TEST(eventually([&] { return servesKeys("a1"); }));
+}
--- a/tests/keydecisions/test_plannerlease.cpp
+++ b/tests/keydecisions/test_plannerlease.cpp
@@ -111,3 +111,20 @@
     lease.writeEnded(RowWriteEnd::Done, 8, start + 110ms);
     BOOST_TEST(!lease.advance(start + 60s).has_value());
 }
+
+BOOST_FIXTURE_TEST_CASE(aWriteThatWasNotDoneIsNotRepeatedAtOnce, Fixture)
+{
+    take(start);
+    Instant now = start + PlannerLease::renewEvery + 10ms;
+    int writes = 0;
+    for (const Instant end = now + 4s; now < end; now += 5ms) {
+        if (!lease.advance(now))
+            continue;
+        BOOST_TEST(lease.isWriting());
+        ++writes;
+        lease.writeEnded(RowWriteEnd::Refused, 0, now + 4ms);
+        BOOST_TEST(!lease.isWriting());
+    }
+    BOOST_TEST(writes >= 9);
+    BOOST_TEST(writes <= 10);
+}
