--- a/src/libbulrushentry/rowsfeed.cpp
+++ b/src/libbulrushentry/rowsfeed.cpp
@@ -3,9 +3,10 @@
 #include "connection/httpstatus.h"
 #include "peerpaths.h"
 #include "process/hostclock.h"
+#include "process/scalartype.h"
 
 #include <algorithm>
-#include <charconv>
+#include <limits>
 #include <utility>
 
 namespace bulrush {
@@ -17,12 +18,7 @@
 
 std::optional<std::uint64_t> numberOf(std::string_view text)
 {
-    std::uint64_t number = 0;
-    const char *end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, number);
-    if (text.empty() || result.ec != std::errc{} || result.ptr != end)
-        return std::nullopt;
-    return number;
+    return io::wholeNumber(0, std::numeric_limits<std::uint64_t>::max()).parse(text);
 }
 
 } // namespace
--- a/tests/entryfleet/servingfleet.h
+++ b/tests/entryfleet/servingfleet.h
@@ -7,6 +7,19 @@
 
 namespace bulrush::test {
 
+/** A daemon in each of two failure domains with the usual servers, serving all keys. */
+struct PairFleet : EntryFleet
+{
+    PairFleet()
+        : EntryFleet({"a1", "b1"})
+    {
+        writeConfig();
+        startServers();
+        startDaemons();
+        awaitServing();
+    }
+};
+
 /** Three daemons in two failure domains with the usual servers, serving all keys. */
 struct ServingFleet : EntryFleet
 {
--- a/tests/entryfleet/test_entryanswers.cpp
+++ b/tests/entryfleet/test_entryanswers.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE EntryAnswers
 
-#include "entryfleet/entryfleet.h"
 #include "entryfleet/scriptedbackend.h"
+#include "entryfleet/servingfleet.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -21,18 +21,6 @@
 
 constexpr const char *requestsSent = "bulrush_attempts_sent_total";
 
-struct ServingFleet : EntryFleet
-{
-    ServingFleet()
-        : EntryFleet({"a1", "b1"})
-    {
-        writeConfig();
-        startServers();
-        startDaemons();
-        awaitServing();
-    }
-};
-
 /** One daemon, and a scripted backend server as the only one of the service payments. */
 struct ScriptedFleet : EntryFleet
 {
@@ -78,7 +66,7 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_CASE(aSecondAnswerGoesToNobody, ServingFleet)
+BOOST_FIXTURE_TEST_CASE(aSecondAnswerGoesToNobody, PairFleet)
 {
     for (const std::string id : {"p1", "p2"})
         spoilAnswers(id, "twice", 30);
@@ -95,7 +83,7 @@
     BOOST_TEST(repeatedRuns().empty());
 }
 
-BOOST_FIXTURE_TEST_CASE(anAnswerWithoutALengthIsWholeAtTheConnectionsEnd, ServingFleet)
+BOOST_FIXTURE_TEST_CASE(anAnswerWithoutALengthIsWholeAtTheConnectionsEnd, PairFleet)
 {
     for (const std::string id : {"p1", "p2"})
         spoilAnswers(id, "unframed", 10);
--- a/tests/entryfleet/test_entrycallers.cpp
+++ b/tests/entryfleet/test_entrycallers.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE EntryCallers
 
-#include "entryfleet/entryfleet.h"
 #include "entryfleet/scriptedbackend.h"
+#include "entryfleet/servingfleet.h"
 #include "standinprocess/rawconnection.h"
 
 #include <boost/test/unit_test.hpp>
@@ -22,18 +22,6 @@
 
 namespace {
 
-struct ServingFleet : EntryFleet
-{
-    ServingFleet()
-        : EntryFleet({"a1", "b1"})
-    {
-        writeConfig();
-        startServers();
-        startDaemons();
-        awaitServing();
-    }
-};
-
 std::string headOf(const std::string &id, const std::string &path, std::size_t bodyLength)
 {
     return "POST " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Bulrushswitch-Request-Id: " + id
@@ -43,7 +31,7 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_CASE(retriesOfAServiceStayWithinWhatItsOwnRequestsAllow, ServingFleet)
+BOOST_FIXTURE_TEST_CASE(retriesOfAServiceStayWithinWhatItsOwnRequestsAllow, PairFleet)
 {
     constexpr int reads = 120;
     for (int i = 0; i < reads; ++i) {
@@ -91,7 +79,7 @@
     BOOST_TEST((Clock::duration{endedAt - leftAt} < 500ms));
 }
 
-BOOST_FIXTURE_TEST_CASE(callersThatSendByHalvesHoldNobodyBack, ServingFleet)
+BOOST_FIXTURE_TEST_CASE(callersThatSendByHalvesHoldNobodyBack, PairFleet)
 {
     std::vector<std::unique_ptr<RawConnection>> slow;
     for (int i = 0; i < 200; ++i) {
@@ -109,7 +97,7 @@
         BOOST_TEST(!run.request.starts_with("slow"), run.request);
 }
 
-BOOST_FIXTURE_TEST_CASE(aKeptConnectionServesOneRequestAfterTheOther, ServingFleet)
+BOOST_FIXTURE_TEST_CASE(aKeptConnectionServesOneRequestAfterTheOther, PairFleet)
 {
     RawConnection caller{callersAddress("a1")};
     for (int i = 0; i < 20; ++i) {
@@ -125,7 +113,7 @@
     BOOST_TEST(repeatedRuns().empty());
 }
 
-BOOST_FIXTURE_TEST_CASE(whatCannotBeServedIsRefusedAtOnceAndTellsWhenToComeBack, ServingFleet)
+BOOST_FIXTURE_TEST_CASE(whatCannotBeServedIsRefusedAtOnceAndTellsWhenToComeBack, PairFleet)
 {
     for (const std::string id : {"p1", "p2"})
         removeRecord(id);
--- a/tests/entryfleet/test_entryrequests.cpp
+++ b/tests/entryfleet/test_entryrequests.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE EntryRequests
 
-#include "entryfleet/entryfleet.h"
+#include "entryfleet/servingfleet.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,22 +10,6 @@
 using namespace bulrush::test;
 using namespace std::chrono_literals;
 
-namespace {
-
-struct ServingFleet : EntryFleet
-{
-    ServingFleet()
-        : EntryFleet({"a1", "b1"})
-    {
-        writeConfig();
-        startServers();
-        startDaemons();
-        awaitServing();
-    }
-};
-
-} // namespace
-
 BOOST_AUTO_TEST_CASE(aDaemonWithoutConfigurationRefusesAndIsNotReady)
 {
     EntryFleet fleet{{"a1"}};
@@ -39,7 +23,7 @@
     BOOST_TEST(EntryFleet::eventually([&] { return fleet.page("a1", "/readyz") == "ready\n"; }));
 }
 
-BOOST_FIXTURE_TEST_CASE(eachKindOfRequestGetsItsServersAnswer, ServingFleet)
+BOOST_FIXTURE_TEST_CASE(eachKindOfRequestGetsItsServersAnswer, PairFleet)
 {
     const SyncHttpResult read = send("a1", "GET", "/read/x", 7);
     BOOST_TEST(read.status == 200);
@@ -53,7 +37,7 @@
     BOOST_TEST(firstOverlap() == "");
 }
 
-BOOST_FIXTURE_TEST_CASE(aRequestThatRunsOnceIsNotSentAgainWhenItsAnswerIsLost, ServingFleet)
+BOOST_FIXTURE_TEST_CASE(aRequestThatRunsOnceIsNotSentAgainWhenItsAnswerIsLost, PairFleet)
 {
     for (const std::string id : {"p1", "p2"})
         spoilAnswers(id, "lose", 1);
@@ -64,7 +48,7 @@
     BOOST_TEST(repeatedRuns().empty());
 }
 
-BOOST_FIXTURE_TEST_CASE(anIdempotentRequestIsSentAgainWhenItsAnswerIsLost, ServingFleet)
+BOOST_FIXTURE_TEST_CASE(anIdempotentRequestIsSentAgainWhenItsAnswerIsLost, PairFleet)
 {
     const std::string owner = ownerOf("a1", 100);
     BOOST_REQUIRE(!owner.empty());
@@ -77,7 +61,7 @@
     BOOST_TEST(repeatedRuns().size() == 2U);
 }
 
-BOOST_FIXTURE_TEST_CASE(aConfigurationIsFollowedAndNeverGoesBack, ServingFleet)
+BOOST_FIXTURE_TEST_CASE(aConfigurationIsFollowedAndNeverGoesBack, PairFleet)
 {
     BOOST_TEST(send("a1", "GET", "/new/x").status == 404);
     writeConfig({"/new/"});
@@ -93,7 +77,7 @@
     BOOST_TEST(send("a1", "GET", "/new/x").status == 200);
 }
 
-BOOST_FIXTURE_TEST_CASE(aServerThatDrainsGetsNoMoreWork, ServingFleet)
+BOOST_FIXTURE_TEST_CASE(aServerThatDrainsGetsNoMoreWork, PairFleet)
 {
     writeRecord("p1", "draining");
     std::this_thread::sleep_for(2s);
