Take back that three daemons of a domain renew each server

Cause: found on reading the change: rows of daemons that are lost for good stay until a move asks for them. Where a domain has more than three daemons, the three that renew a server could in time all be such, and its keys would go dark; with 60% of 25 daemons without power at once, a fifth of the servers would have none.

--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -20,7 +20,7 @@
 KeyCoordinator::KeyCoordinator(const KeySelf &self, Instant start, const KeyTimings &timings)
     : m_self(self)
     , m_lease(self.incarnation, self.address, self.patience)
-    , m_renewal(self.host, self.domain, timings)
+    , m_renewal(self.domain, timings)
     , m_renewers(timings)
     , m_grants(start, timings.grantCall)
 { }
@@ -49,7 +49,6 @@
         m_renewers.rowSeen(host, *row, version);
     else
         m_renewers.rowGone(host, now);
-    m_renewal.setDaemons(m_renewers.renewers());
     if (host != m_self.host || m_isRegistering)
         return;
     const bool isOwn = row && row->incarnation == m_self.incarnation;
--- a/src/libbulrush/process/keyrenewal.cpp
+++ b/src/libbulrush/process/keyrenewal.cpp
@@ -1,54 +1,15 @@
 #include "process/keyrenewal.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
 namespace bulrush {
 
-namespace {
-
-/** Spreads the servers over the daemons, the same way at each of them. */
-std::uint64_t rankOf(const HostName &host, const ServerName &server)
-{
-    const std::string pair = host.value() + '/' + server.value();
-    return XXH3_64bits(pair.data(), pair.size());
-}
-
-} // namespace
-
-KeyRenewal::KeyRenewal(HostName self, DomainName ownDomain, const KeyTimings &timings)
-    : m_self(std::move(self))
-    , m_ownDomain(std::move(ownDomain))
+KeyRenewal::KeyRenewal(DomainName ownDomain, const KeyTimings &timings)
+    : m_ownDomain(std::move(ownDomain))
     , m_timings(timings)
 { }
 
-void KeyRenewal::setDaemons(const std::map<HostName, Renewer> &daemons)
-{
-    m_daemons.clear();
-    for (const auto &[host, daemon] : daemons) {
-        if (!daemon.goneSince)
-            m_daemons[daemon.row.domain].push_back(host);
-    }
-}
-
-bool KeyRenewal::isRenewerOf(const ServerRecord &server) const
-{
-    const auto found = m_daemons.find(server.domain);
-    const std::size_t count = found == m_daemons.end() ? 0 : found->second.size();
-    if (m_isPlanner && count < fewDaemons)
-        return true;
-    if (server.domain != m_ownDomain)
-        return false;
-    if (count <= renewersPerServer)
-        return true;
-    const std::uint64_t own = rankOf(m_self, server.id);
-    const auto before = std::ranges::count_if(
-        found->second, [&](const HostName &host) { return rankOf(host, server.id) < own; });
-    return static_cast<std::size_t>(before) < renewersPerServer;
-}
-
 void KeyRenewal::setAssignment(const KeyAssignment &assignment)
 {
     m_assignments[assignment.service] = assignment;
@@ -70,7 +31,7 @@
             const KnownServer *server = servers.find(owned.owner);
             if (owned.isMoving() || !server || server->goneSince)
                 continue;
-            if (!isRenewerOf(server->record))
+            if (!m_isPlanner && server->record.domain != m_ownDomain)
                 continue;
             const GrantKey key{service, owned.range.first, owned.range.last, owned.owner,
                                owned.fence};
--- a/src/libbulrush/process/keyrenewal.h
+++ b/src/libbulrush/process/keyrenewal.h
@@ -3,11 +3,9 @@
 #include "process/clock.h"
 #include "process/keyaction.h"
 #include "process/keytimings.h"
-#include "process/renewerbook.h"
 #include "process/serverdirectory.h"
 #include "version/keyassignment.h"
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -18,8 +16,7 @@
 
 /**
  * Which grants a daemon sends, and when. Renewing what an assignment says is idempotent: any daemon
- * may do it, so a few of its failure domain renew each server, and where a domain has few daemons,
- * which may be lost together, the planner renews its servers as well.
+ * may do it, so each renews the servers of its own failure domain and the planner renews all.
  *
  * What keeps it safe: a daemon stops when it has not heard from the store for a while, as the
  * assignment may have changed meanwhile. A planner that can't reach the last owner of a range waits
@@ -31,15 +28,7 @@
 class KeyRenewal
 {
 public:
-    /** Daemons of a domain that renew a server: one may be lost, and one frozen or cut off. */
-    static constexpr std::size_t renewersPerServer = 3;
-    /** The planner renews the servers of domains with fewer daemons than this. */
-    static constexpr std::size_t fewDaemons = 5;
-
-    KeyRenewal(HostName self, DomainName ownDomain, const KeyTimings &timings);
-
-    /** Takes in the daemons that have rows. */
-    void setDaemons(const std::map<HostName, Renewer> &daemons);
+    KeyRenewal(DomainName ownDomain, const KeyTimings &timings);
 
     /** Takes in the assignments in force. */
     void setAssignment(const KeyAssignment &assignment);
@@ -66,11 +55,8 @@
     using GrantKey = std::tuple<ServiceName, KeyPlace, KeyPlace, ServerName, std::uint64_t>;
 
     bool isDueAgain(Instant sentAt, Instant now) const;
-    bool isRenewerOf(const ServerRecord &server) const;
 
-    HostName m_self;
     DomainName m_ownDomain;
-    std::map<DomainName, std::vector<HostName>> m_daemons;
     KeyTimings m_timings;
     std::map<ServiceName, KeyAssignment> m_assignments;
     std::map<GrantKey, Instant> m_sentAt;
