--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -52,6 +52,19 @@
     return json;
 }
 
+Json::Value splitRoute(const std::string &prefix, const std::map<std::string, int> &weights)
+{
+    Json::Value json = route(prefix, "unsafe", "");
+    json.removeMember("service");
+    for (const auto &[name, weight] : weights) {
+        Json::Value part;
+        part["service"] = name;
+        part["weight"] = weight;
+        json["trafficSplit"].append(part);
+    }
+    return json;
+}
+
 std::string hexadecimal(int number)
 {
     std::array<char, 16> text{};
@@ -198,6 +211,8 @@
     paths.append(route("/upload/", "upload", "payments"));
     for (const std::string &prefix : furtherPrefixes)
         paths.append(route(prefix, "safe", "payments"));
+    if (!m_split.empty())
+        paths.append(splitRoute("/split/", m_split));
     Json::Value host;
     host["host"] = "shop.example";
     host["paths"] = paths;
@@ -205,6 +220,10 @@
     config["version"] = hexadecimal(m_version += 2);
     config["services"].append(service("catalogue", true));
     config["services"].append(service("payments", false));
+    for (const auto &[name, weight] : m_split) {
+        if (name != "payments")
+            config["services"].append(service(name, false));
+    }
     config["limits"]["headerBytes"] = 16'384;
     config["limits"]["bodyBytes"] = 67'108'864;
     config["limits"]["headerTimeoutS"] = 3;
@@ -213,6 +232,11 @@
     writeRawConfig(config.toStyledString());
 }
 
+void EntryFleet::splitTraffic(const std::map<std::string, int> &weights)
+{
+    m_split = weights;
+}
+
 void EntryFleet::writeRawConfig(const std::string &text)
 {
     Json::Value row;
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -82,6 +82,10 @@
     /** Writes the configuration, with further routes, as a new version. */
     void writeConfig(const std::vector<std::string> &furtherPrefixes = {});
 
+    /** Has `/split/` go to services by weight in the configurations that are written from now on.
+     */
+    void splitTraffic(const std::map<std::string, int> &weights);
+
     /** Writes \a text, which is JSON, in the place of the configuration. */
     void writeRawConfig(const std::string &text);
 
@@ -149,6 +153,7 @@
     std::map<std::string, EntryServer> m_kinds;
     std::map<std::string, std::unique_ptr<ChildProcess>> m_servers;
     std::map<std::string, std::unique_ptr<ChildProcess>> m_daemons;
+    std::map<std::string, int> m_split;
     int m_version = 0;
     int m_nextRequest = 1;
     SyncHttp m_http;
--- a/tests/entryfleet/test_entrycallers.cpp
+++ b/tests/entryfleet/test_entrycallers.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -50,6 +51,34 @@
     BOOST_TEST(repeats > 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(aRequestRunsOnNoMoreServersThanItsRouteAllows, PairFleet)
+{
+    startServer({"p3", "payments", "a"});
+    startServer({"p4", "payments", "b"});
+    writeConfig({"/new/"});
+    BOOST_TEST(eventually([&] { return send("a1", "GET", "/new/x").status == 200; }));
+    for (int i = 0; i < 40; ++i)
+        send("a1", "GET", "/new/x"); // earns retries
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 20; ++i) {
+        for (const std::string id : {"p1", "p2", "p3", "p4"})
+            spoilAnswers(id, "lose", 1);
+        send("a1", "GET", "/new/x");
+        for (const std::string id : {"p1", "p2", "p3", "p4"})
+            spoilAnswers(id, "lose", 0);
+        send("a1", "GET", "/new/x");
+    }
+    for (const EntryRun &run : runs())
+        ++counts[run.request];
+    int repeated = 0;
+    for (const auto &[request, count] : counts) {
+        // The routes of the fleet allow two.
+        BOOST_TEST(count <= 2, request << " ran " << count << " times");
+        repeated += count == 2 ? 1 : 0;
+    }
+    BOOST_TEST(repeated > 0);
+}
+
 BOOST_AUTO_TEST_CASE(theWorkOfACallerThatLeftIsGivenUpAtOnce)
 {
     std::atomic<std::int64_t> begunAt = 0;
--- a/tests/entryfleet/test_entryconfig.cpp
+++ b/tests/entryfleet/test_entryconfig.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <cstddef>
 #include <map>
 #include <string>
 #include <thread>
@@ -75,6 +77,33 @@
     BOOST_TEST(eventually([&] { return send("a1", "GET", "/new/x").status == 200; }));
 }
 
+BOOST_FIXTURE_TEST_CASE(trafficIsSplitByTheWeightsInForce, ServingFleet)
+{
+    startServer({"f1", "fieldops", "a"});
+    for (const int weight : {1, 4}) {
+        splitTraffic({{"payments", 4}, {"fieldops", weight}});
+        writeConfig();
+        for (const std::string &host : hosts) {
+            BOOST_TEST(
+                eventually([&] { return counter(host, versionInForce) == configVersion(); }));
+        }
+        BOOST_TEST(eventually(
+            [&] { return send("a1", "POST", "/split/x", std::nullopt, "x").status == 200; }));
+        const std::size_t before = runs().size();
+        constexpr int requests = 400;
+        for (int i = 0; i < requests; ++i) {
+            const std::string &host = hosts[static_cast<std::size_t>(i) % hosts.size()];
+            BOOST_TEST(send(host, "POST", "/split/x", std::nullopt, "x").status == 200);
+        }
+        const std::vector<EntryRun> all = runs();
+        const auto part =
+            std::count_if(all.begin() + static_cast<std::ptrdiff_t>(before), all.end(),
+                          [](const EntryRun &run) { return run.server == "f1"; });
+        const double share = static_cast<double>(part) / requests;
+        BOOST_TEST(std::abs(share - weight / (4.0 + weight)) < 0.06, "share " << share);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(aServerThatDrainsIsLeftInTimeThroughAFeedThatHeardNothing, ServingFleet)
 {
     setStoreFault("a1", "deaf");
--- a/tests/entryfleet/test_entryshutdown.cpp
+++ b/tests/entryfleet/test_entryshutdown.cpp
@@ -112,6 +112,29 @@
     BOOST_TEST(repeatedRuns().empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(aKeptConnectionIsServedOnceMoreAfterSigterm, SlowFleet)
+{
+    RawConnection caller{callersAddress("a1")};
+    const auto exchange = [&](const std::string &id) {
+        caller.send(
+            "GET /read/7 HTTP/1.1\r\nHost: shop.example\r\nX-Bulrushswitch-Request-Id: " + id
+            + "\r\nX-Bulrushswitch-Deadline-Ms: 4000\r\nX-Bulrushswitch-Shard-Key: 7\r\n\r\n");
+        std::string answer;
+        BOOST_TEST(eventually([&] {
+            answer += caller.receivedSoFar();
+            return answer.find("request=" + id) != std::string::npos;
+        }));
+        return answer;
+    };
+    BOOST_TEST(exchange("before").starts_with("HTTP/1.1 200"));
+    ::kill(daemon("a1").pid(), SIGTERM);
+    std::this_thread::sleep_for(1s);
+    // It was open and idle; the caller is told on the answer that it ends, not by a close.
+    const std::string last = exchange("after");
+    BOOST_TEST(last.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(last.find("Connection: close") != std::string::npos, last);
+}
+
 BOOST_FIXTURE_TEST_CASE(hostsThatLeaveCloseTogetherCutNothingOff, SlowFleet)
 {
     std::vector<std::future<SyncHttpResult>> payments;
