Keep the store's stand-in from using a wait that was answered

A wait's timer had run out, its handler was queued, and a change answered the wait before it ran. Change: the handler holds the wait weakly.

--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -83,9 +83,12 @@
                 / ("bulrush-entry-" + std::to_string(::getpid()) + '-' + std::to_string(number)))
                    .string();
     std::filesystem::create_directories(m_folder);
-    // Loopback addresses of this fleet's own, so that fixed ports meet nobody.
-    const int process = static_cast<int>(::getpid()) % 200;
-    m_prefix = "127." + std::to_string(80 + number % 100) + '.' + std::to_string(process) + '.';
+    // Loopback addresses of this fleet's own, so that fixed ports meet nobody: by the process, of
+    // which 25,000 that follow each other differ, and by the fleet within it.
+    const int process = static_cast<int>(::getpid());
+    m_prefix = "127." + std::to_string(128 + process % 100) + '.'
+        + std::to_string(process / 100 % 250) + '.';
+    m_firstHost = number % 30 * 8 + 1;
 
     std::vector<std::string> arguments{"--listen", "control=127.0.0.1:0"};
     for (const std::string &host : m_hosts) {
@@ -133,7 +136,7 @@
 void EntryFleet::startDaemon(const std::string &host)
 {
     const auto place = std::ranges::find(m_hosts, host);
-    const std::string ip = m_prefix + std::to_string(place - m_hosts.begin() + 1);
+    const std::string ip = m_prefix + std::to_string(m_firstHost + (place - m_hosts.begin()));
     const std::string path = m_folder + '/' + host + ".yaml";
     std::ofstream{path} << "host: " << host << "\ndomain: " << host.front() << "\nstore: \""
                         << m_store->address(host) << "\"\naddresses:\n"
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -149,6 +149,8 @@
     std::vector<std::string> m_hosts;
     std::string m_folder;
     std::string m_prefix;
+    /** The last number of the first host's address; there are at most eight hosts. */
+    int m_firstHost = 1;
     std::unique_ptr<ChildProcess> m_store;
     std::map<std::string, EntryServer> m_kinds;
     std::map<std::string, std::unique_ptr<ChildProcess>> m_servers;
--- a/tests/standins/store/storeserver.cpp
+++ b/tests/standins/store/storeserver.cpp
@@ -141,7 +141,7 @@
         return true;
     case StoreMode::Silent:
         // Kept, so that the connection stays open without an answer.
-        m_waiting.push_back({&entrance, request, {}, 0, nullptr});
+        m_waiting.push_back(std::make_shared<Waiting>(Waiting{&entrance, request, {}, 0, nullptr}));
         return true;
     }
     return false;
@@ -194,36 +194,39 @@
 void StoreServer::follow(Entrance &entrance, const RequestHandle &request)
 {
     const auto query = restinio::parse_query(request->header().query());
-    Waiting waiting;
-    waiting.entrance = &entrance;
-    waiting.request = request;
-    waiting.table = argument(query, "table");
-    waiting.after = std::stoull(argument(query, "after"));
-    const auto changes = m_rows.changes(waiting.table, waiting.after);
+    const auto waiting = std::make_shared<Waiting>();
+    waiting->entrance = &entrance;
+    waiting->request = request;
+    waiting->table = argument(query, "table");
+    waiting->after = std::stoull(argument(query, "after"));
+    const auto changes = m_rows.changes(waiting->table, waiting->after);
     if (!changes || (!changes->empty() && entrance.mode != StoreMode::Deaf)) {
-        answerFeed(waiting);
+        answerFeed(*waiting);
         return;
     }
     const std::chrono::milliseconds wait{std::stoll(argument(query, "waitMs"))};
-    waiting.timer = std::make_unique<asio::steady_timer>(m_loop, wait);
-    m_waiting.push_back(std::move(waiting));
-    const auto place = std::prev(m_waiting.end());
-    place->timer->async_wait([this, place](const asio::error_code &error) {
-        if (error || place->entrance->mode == StoreMode::Silent)
-            return; // it stays without an answer, as its connection stays open
-        answerFeed(*place);
-        m_waiting.erase(place);
-    });
+    waiting->timer = std::make_unique<asio::steady_timer>(m_loop, wait);
+    m_waiting.push_back(waiting);
+    // It may have been answered when the timer runs out, or in the moment after that.
+    waiting->timer->async_wait(
+        [this, weak = std::weak_ptr{waiting}](const asio::error_code &error) {
+            const std::shared_ptr<Waiting> held = weak.lock();
+            if (error || !held || held->entrance->mode == StoreMode::Silent)
+                return; // in silence it stays without an answer, as its connection stays open
+            answerFeed(*held);
+            m_waiting.remove(held);
+        });
 }
 
 void StoreServer::answerWaiting()
 {
     for (auto place = m_waiting.begin(); place != m_waiting.end();) {
         const auto next = std::next(place);
-        const bool isFeed = place->timer && place->entrance->mode == StoreMode::Normal;
-        const auto changes = isFeed ? m_rows.changes(place->table, place->after) : std::nullopt;
+        const Waiting &waiting = **place;
+        const bool isFeed = waiting.timer && waiting.entrance->mode == StoreMode::Normal;
+        const auto changes = isFeed ? m_rows.changes(waiting.table, waiting.after) : std::nullopt;
         if (changes && !changes->empty()) {
-            answerFeed(*place);
+            answerFeed(waiting);
             m_waiting.erase(place);
         }
         place = next;
@@ -262,9 +265,9 @@
         setFaults((*json)["faults"]);
     if ((*json)["dropHistory"].asBool()) {
         m_rows.dropHistory();
-        for (const Waiting &waiting : std::exchange(m_waiting, {})) {
-            if (waiting.timer)
-                waiting.entrance->listener->resetConnection(waiting.request);
+        for (const std::shared_ptr<Waiting> &waiting : std::exchange(m_waiting, {})) {
+            if (waiting->timer)
+                waiting->entrance->listener->resetConnection(waiting->request);
         }
     }
     return jsonAnswer(200, counts());
@@ -284,8 +287,8 @@
             continue;
         for (auto place = m_waiting.begin(); place != m_waiting.end();) {
             const auto next = std::next(place);
-            if (place->entrance == entrance.get()) {
-                entrance->listener->resetConnection(place->request);
+            if ((*place)->entrance == entrance.get()) {
+                entrance->listener->resetConnection((*place)->request);
                 m_waiting.erase(place);
             }
             place = next;
--- a/tests/standins/store/storeserver.h
+++ b/tests/standins/store/storeserver.h
@@ -82,7 +82,7 @@
     asio::io_context &m_loop;
     RowHistory m_rows;
     std::vector<std::unique_ptr<Entrance>> m_entrances;
-    std::list<Waiting> m_waiting;
+    std::list<std::shared_ptr<Waiting>> m_waiting;
 };
 
 } // namespace bulrush::standins
