--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -298,6 +298,15 @@
     control(json);
 }
 
+void EntryFleet::loseFeedAnswer(const std::string &host, const std::string &table)
+{
+    Json::Value json;
+    json["faults"]["entrance"] = host;
+    json["faults"]["mode"] = "ok";
+    json["faults"]["loseFeedOf"] = table;
+    control(json);
+}
+
 std::uint64_t EntryFleet::storeCalls(const std::string &host)
 {
     return control(Json::Value{Json::objectValue})["calls"][host].asUInt64();
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -104,6 +104,9 @@
                        int delayWrites = 0);
     void dropHistory();
 
+    /** Has the store lose its next answer to \a host's wait for changes of \a table. */
+    void loseFeedAnswer(const std::string &host, const std::string &table);
+
     /** \returns how many calls \a host's daemon has made to the store. */
     std::uint64_t storeCalls(const std::string &host);
 
--- /dev/null
+++ b/tests/loadworld/loadworld.cpp
@@ -0,0 +1,314 @@
+#include "loadworld.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bulrush::test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration step = 5ms;
+constexpr Duration planEvery = 500ms;
+constexpr Duration sharesEvery = 600ms;
+/** For the work that runs on a range to end, and for all to hear of the commits of its move. */
+constexpr Duration moveTime = 400ms;
+constexpr std::uint32_t slots = 3;
+constexpr std::size_t queueLimit = 12;
+/** Busy keys are next to each other: the rate falls with the place. */
+constexpr double steepness = -0.66;
+/** What a daemon may send again, of its own requests. */
+constexpr double retryRatio = 0.15;
+constexpr int mostAttempts = 6;
+constexpr double lateWorth = 0.3;
+
+const ServiceName service{"s"};
+
+std::discrete_distribution<KeyPlace> keyDistribution()
+{
+    std::vector<double> rates(keyPlaces);
+    for (KeyPlace place = 0; place < keyPlaces; ++place)
+        rates[place] = std::pow(1.0 + place, steepness);
+    return {rates.begin(), rates.end()};
+}
+
+} // namespace
+
+double LoadResult::worth() const
+{
+    return (onTime + lateWorth * late) / std::max(1, requests);
+}
+
+struct LoadWorld::Daemon
+{
+    ServerGauges gauges;
+    ServerPicker picker{gauges, DomainName{"a"}};
+    RequestQueue queue{picker};
+    KeyGate gate;
+    std::map<std::uint64_t, Request> open;
+    LoadSample sample{service, {}, {}, {}};
+    std::uint64_t nextTicket = 1;
+    double retries = 3.0;
+};
+
+LoadWorld::LoadWorld(const LoadScenario &scenario)
+    : m_scenario(scenario)
+    , m_random(scenario.seed)
+    , m_keys(keyDistribution())
+    , m_assignment{service, 0, {}}
+    , m_load(m_start)
+    , m_plannedServers(scenario.firstDivision == 0 ? scenario.servers : scenario.firstDivision)
+{
+    for (std::size_t i = 0; i < scenario.servers; ++i) {
+        const ServerName name{"i-" + std::to_string(i)};
+        m_names.push_back(name);
+        m_servers[name].slowness = std::uniform_real_distribution{0.75, 1.35}(m_random);
+        KnownServer known;
+        known.record = {name, service, {"10.0.0.1", 80}, DomainName{"a"}, slots, false, {}};
+        m_state.servers[service].push_back(known);
+    }
+    for (std::size_t i = 0; i < scenario.daemons; ++i) {
+        m_daemons.push_back(std::make_unique<Daemon>());
+        if (!scenario.isFirstWindowAlone)
+            m_daemons.back()->gauges.setDaemonCount(scenario.daemons);
+    }
+    plan();
+}
+
+LoadWorld::~LoadWorld() = default;
+
+LoadResult LoadWorld::run()
+{
+    Instant plannedAt = m_now;
+    Instant toldAt = m_now;
+    while (m_now < m_start + m_scenario.length) {
+        m_now += step;
+        advanceServers();
+        arrive();
+        for (std::size_t i = 0; i < m_daemons.size(); ++i)
+            dispatch(*m_daemons[i], i);
+        if (m_now - toldAt >= sharesEvery) {
+            toldAt = m_now;
+            tellShares();
+        }
+        if (m_now - plannedAt >= planEvery || m_now >= m_settlesAt) {
+            plannedAt = m_now;
+            plan();
+        }
+    }
+    return m_result;
+}
+
+void LoadWorld::arrive()
+{
+    const double mean = m_scenario.requestsPerSecond * std::chrono::duration<double>(step).count();
+    const int fresh = std::poisson_distribution<int>{mean}(m_random);
+    for (int i = 0; i < fresh; ++i) {
+        ++m_result.requests;
+        add(drawKey(), m_now, m_now + m_scenario.deadline, false);
+    }
+    std::vector<Return> due;
+    std::erase_if(m_returns, [&](const Return &entry) {
+        if (entry.at > m_now)
+            return false;
+        due.push_back(entry);
+        return true;
+    });
+    for (const Return &entry : due)
+        add(entry.key, entry.startedAt, entry.answerBy, true);
+}
+
+void LoadWorld::add(KeyPlace key, Instant startedAt, Instant answerBy, bool hasComeBack)
+{
+    Daemon &daemon = *m_daemons[m_random() % m_daemons.size()];
+    daemon.sample.keys.push_back(key);
+    const std::uint64_t ticket = daemon.nextTicket++;
+    daemon.open[ticket] = {key, startedAt, answerBy, 0, hasComeBack};
+    daemon.retries = std::min(5.0, daemon.retries + retryRatio);
+    if (m_scenario.hasShares && !daemon.gate.admits(service, key, m_random(), m_now)) {
+        refuse(daemon, ticket);
+        return;
+    }
+    WaitingRequest waiting;
+    waiting.ticket = ticket;
+    waiting.service = service;
+    waiting.key = key;
+    waiting.priority = 2;
+    waiting.arrivedAt = startedAt;
+    waiting.onTimeUntil = startedAt + m_scenario.aim;
+    waiting.answerBy = answerBy;
+    waiting.notBefore = m_now;
+    daemon.queue.add(std::move(waiting));
+}
+
+KeyPlace LoadWorld::drawKey()
+{
+    double chance = std::uniform_real_distribution{}(m_random);
+    const Duration passed = m_now - m_start;
+    constexpr KeyPlace between = 9'973;
+    KeyPlace place = between;
+    for (const HotSpell &spell : m_scenario.hotSpells) {
+        place = (place + between) % (keyPlaces / 2);
+        if (passed < spell.from || passed >= spell.until)
+            continue;
+        if (chance < spell.share)
+            return place + static_cast<KeyPlace>(m_random() % spell.keys);
+        chance -= spell.share;
+    }
+    return m_keys(m_random);
+}
+
+void LoadWorld::dispatch(Daemon &daemon, std::size_t index)
+{
+    if (daemon.queue.size() == 0)
+        return;
+    const auto givenUp = daemon.queue.dispatch(
+        m_state, m_now, [&](std::uint64_t ticket, const ServerRecord &server) {
+            daemon.gauges.attemptStarted(server.id, m_now);
+            send(index, ticket, server.id);
+        });
+    for (const GivenUp &request : givenUp)
+        refuse(daemon, request.ticket);
+}
+
+void LoadWorld::send(std::size_t daemon, std::uint64_t ticket, const ServerName &name)
+{
+    Server &server = m_servers.at(name);
+    ++m_result.arrivals;
+    ++m_daemons[daemon]->open.at(ticket).attempts;
+    Work work{daemon, ticket, m_now, {}};
+    // A server that is full says so a moment later: its place is taken from here on.
+    if (server.running.size() < slots)
+        work.until = m_now + drawWork(server);
+    else if (server.waiting.size() >= queueLimit)
+        work.until = Instant::min();
+    if (work.until == Instant{})
+        server.waiting.push_back(work);
+    else
+        server.running.push_back(work);
+}
+
+void LoadWorld::refuse(Daemon &daemon, std::uint64_t ticket)
+{
+    const Request request = daemon.open.at(ticket);
+    daemon.open.erase(ticket);
+    const Duration pause =
+        250ms + std::chrono::milliseconds{std::uniform_int_distribution{0, 500}(m_random)};
+    if (!request.hasComeBack && m_now + pause < request.answerBy)
+        m_returns.push_back({m_now + pause, request.key, request.answerBy, request.startedAt});
+}
+
+void LoadWorld::advanceServers()
+{
+    for (auto &[name, server] : m_servers) {
+        std::vector<Work> done;
+        std::erase_if(server.running, [&](const Work &work) {
+            if (work.until > m_now)
+                return false;
+            done.push_back(work);
+            return true;
+        });
+        for (const Work &work : done) {
+            if (server.running.size() < slots && !server.waiting.empty()) {
+                server.running.push_back(server.waiting.front());
+                server.running.back().until = m_now + drawWork(server);
+                server.waiting.pop_front();
+            }
+            finish(name, work);
+        }
+    }
+}
+
+void LoadWorld::finish(const ServerName &name, const Work &work)
+{
+    Daemon &daemon = *m_daemons[work.daemon];
+    const ServerLoad load = loadOf(m_servers.at(name));
+    const bool isRejected = work.until == Instant::min();
+    daemon.gauges.attemptEnded(name, isRejected ? AttemptSign::NotRun : AttemptSign::Served,
+                               m_now - work.sentAt, load, m_now);
+    const auto place = daemon.open.find(work.ticket);
+    if (place == daemon.open.end())
+        return;
+    const Request request = place->second;
+    if (!isRejected) {
+        const bool isOnTime = m_now <= request.startedAt + m_scenario.aim;
+        m_result.onTime += isOnTime ? 1 : 0;
+        m_result.late += !isOnTime && m_now <= request.answerBy ? 1 : 0;
+        daemon.open.erase(place);
+        return;
+    }
+    ++m_result.rejectedByServers;
+    if (request.attempts >= mostAttempts || daemon.retries < 1.0) {
+        refuse(daemon, work.ticket);
+        return;
+    }
+    daemon.retries -= 1.0;
+    WaitingRequest again;
+    again.ticket = work.ticket;
+    again.service = service;
+    again.key = request.key;
+    again.priority = 2;
+    again.arrivedAt = request.startedAt;
+    again.onTimeUntil = request.startedAt + m_scenario.aim;
+    again.answerBy = request.answerBy;
+    again.notBefore = m_now + 20ms;
+    daemon.queue.add(std::move(again));
+}
+
+ServerLoad LoadWorld::loadOf(const Server &server) const
+{
+    return {static_cast<std::uint32_t>(std::min<std::size_t>(slots, server.running.size())),
+            static_cast<std::uint32_t>(server.waiting.size()), slots};
+}
+
+Duration LoadWorld::drawWork(const Server &server)
+{
+    const double factor = server.slowness * std::uniform_real_distribution{0.4, 1.6}(m_random);
+    return Duration{
+        static_cast<std::int64_t>(static_cast<double>(m_scenario.workTime.count()) * factor)};
+}
+
+std::vector<KeyServer> LoadWorld::planned() const
+{
+    std::vector<KeyServer> servers;
+    for (std::size_t i = 0; i < std::min(m_plannedServers, m_names.size()); ++i) {
+        const Duration time = m_load.workTime(m_names[i]);
+        servers.push_back({m_names[i], slots / std::chrono::duration<double>(time).count()});
+    }
+    return servers;
+}
+
+/** A round of the planner; what it moves is settled before the next one. */
+void LoadWorld::plan()
+{
+    if (m_now >= m_settlesAt) {
+        m_settlesAt = Instant::max();
+        ++m_assignment.sequence;
+        for (OwnedRange &owned : m_assignment.ranges) {
+            owned.previous = {};
+            owned.moveSequence = 0;
+        }
+    } else if (const auto next = KeyPlanner::plan(m_assignment, planned(), m_load.traffic(m_now))) {
+        m_assignment = *next;
+        m_settlesAt = m_now + moveTime;
+        m_plannedServers += m_scenario.joinEachRound;
+    }
+    m_state.assignments[service] = std::make_shared<const KeyAssignment>(m_assignment);
+}
+
+void LoadWorld::tellShares()
+{
+    for (const auto &daemon : m_daemons) {
+        daemon->sample.work = daemon->gauges.takeWork();
+        m_load.add(daemon->sample, m_now);
+        daemon->sample.keys.clear();
+    }
+    if (!m_scenario.hasShares)
+        return;
+    const KeyShares shares = KeyAdmission::shares(m_assignment, planned(), m_load.traffic(m_now));
+    for (const auto &daemon : m_daemons)
+        daemon->gate.set({&shares, 1}, m_now);
+}
+
+} // namespace bulrush::test
--- a/tests/standins/store/storeserver.cpp
+++ b/tests/standins/store/storeserver.cpp
@@ -222,10 +222,10 @@
 {
     for (auto place = m_waiting.begin(); place != m_waiting.end();) {
         const auto next = std::next(place);
-        const Waiting &waiting = **place;
+        Waiting &waiting = **place;
         const bool isFeed = waiting.timer && waiting.entrance->mode == StoreMode::Normal;
         const auto changes = isFeed ? m_rows.changes(waiting.table, waiting.after) : std::nullopt;
-        if (changes && !changes->empty()) {
+        if (changes && !changes->empty() && !isLost(waiting)) {
             answerFeed(waiting);
             m_waiting.erase(place);
         }
@@ -233,6 +233,16 @@
     }
 }
 
+/** \returns whether the answer to \a waiting is lost; its connection then says nothing further. */
+bool StoreServer::isLost(Waiting &waiting)
+{
+    if (waiting.entrance->feedToLose != waiting.table)
+        return false;
+    waiting.entrance->feedToLose.clear();
+    waiting.timer.reset();
+    return true;
+}
+
 void StoreServer::answerFeed(const Waiting &waiting)
 {
     const auto changes = m_rows.changes(waiting.table, waiting.after);
@@ -284,6 +294,7 @@
         entrance->answersToLose = json["loseAnswers"].asInt();
         entrance->writesToDelay = json["delayWrites"].asInt();
         entrance->delay = std::chrono::milliseconds{json["delayMs"].asInt()};
+        entrance->feedToLose = json["loseFeedOf"].asString();
         if (entrance->mode != StoreMode::Reset)
             continue;
         for (auto place = m_waiting.begin(); place != m_waiting.end();) {
--- a/tests/standins/store/storeserver.h
+++ b/tests/standins/store/storeserver.h
@@ -54,6 +54,8 @@
         /** Transactions that are done this much later, without an answer. */
         int writesToDelay = 0;
         std::chrono::milliseconds delay{0};
+        /** The next answer to a wait for changes of this table is lost; empty: none is. */
+        std::string feedToLose;
         std::uint64_t calls = 0;
         std::unique_ptr<Listener> listener;
     };
@@ -75,6 +77,7 @@
     void follow(Entrance &entrance, const RequestHandle &request);
     void answerWaiting();
     void answerFeed(const Waiting &waiting);
+    static bool isLost(Waiting &waiting);
     Answer control(std::string_view body);
     void setFaults(const Json::Value &json);
     Json::Value counts() const;
