Tell the steps of requests that reach leaving servers

For a request whose server was known to drain, or was chosen by what was known a second ago or more: how long ago the server was last known to stay, how old that knowledge was, and when connection and bytes came (sent-to-leaving). For a server's word: from whom, when the store told it, and until when it had not been told (server-seen). The age of what is known at each choice is a histogram of the metrics page, with its largest value.

No decision goes by any of it yet.

--- a/src/libbulrush/process/serverdirectory.cpp
+++ b/src/libbulrush/process/serverdirectory.cpp
@@ -6,11 +6,11 @@
 namespace bulrush {
 
 void ServerDirectory::takeAll(std::span<const ServerRecord> records, bool isAfterOutage,
-                              Instant now)
+                              Instant now, Instant unchangedUntil)
 {
     std::set<ServerName> present;
     for (const ServerRecord &record : records) {
-        take(record, now);
+        take(record, now, unchangedUntil);
         present.insert(record.id);
     }
     for (auto &[id, server] : m_servers) {
@@ -23,7 +23,7 @@
     }
 }
 
-void ServerDirectory::take(const ServerRecord &record, Instant now)
+void ServerDirectory::take(const ServerRecord &record, Instant now, Instant unchangedUntil)
 {
     const auto [place, isNew] = m_servers.try_emplace(record.id);
     KnownServer &server = place->second;
@@ -40,6 +40,10 @@
         server.drainingSince.reset();
     else if (!server.drainingSince)
         server.drainingSince = now;
+    if (!record.isDraining)
+        server.drainsAfter.reset();
+    else if (!server.drainsAfter)
+        server.drainsAfter = unchangedUntil;
 }
 
 /** Of a server one run is up at a time. */
--- a/src/libbulrush/process/serverdirectory.h
+++ b/src/libbulrush/process/serverdirectory.h
@@ -16,6 +16,8 @@
     Instant firstSeen;
     /** Since when it is known to drain. */
     std::optional<Instant> drainingSince;
+    /** Set while it drains: the last instant at which it was known not to. */
+    std::optional<Instant> drainsAfter;
     /** Since when its record is gone; it may still serve, but gets nothing any more. */
     std::optional<Instant> goneSince;
     /** Another server answers at its address, which is given away only after its server has ended.
@@ -51,12 +53,17 @@
 
     /**
      * Takes in all records there are. \a isAfterOutage tells that the store was away, so that
-     * records may have lapsed of servers that live.
+     * records may have lapsed of servers that live. At \a unchangedUntil they were all as they
+     * were known before.
      */
-    void takeAll(std::span<const ServerRecord> records, bool isAfterOutage, Instant now);
+    void takeAll(std::span<const ServerRecord> records, bool isAfterOutage, Instant now,
+                 Instant unchangedUntil);
 
-    /** Takes in one new or changed record. Earlier runs of the same server have ended. */
-    void take(const ServerRecord &record, Instant now);
+    /**
+     * Takes in one new or changed record, which had not changed at \a unchangedUntil. Earlier runs
+     * of the same server have ended.
+     */
+    void take(const ServerRecord &record, Instant now, Instant unchangedUntil);
 
     /** Notes that the record that bears \a recordName was removed, or can't be read any more. */
     void remove(const ServerName &recordName, Instant now);
--- a/src/libbulrush/request/serverpicker.cpp
+++ b/src/libbulrush/request/serverpicker.cpp
@@ -33,6 +33,11 @@
     , m_ownDomain(std::move(ownDomain))
 { }
 
+Duration ServerPicker::knowledgeAge(Instant now) const
+{
+    return m_knowledge.isStoreAway ? Duration::zero() : now - m_knowledge.asOf;
+}
+
 ServerPick ServerPicker::pick(const RoutingState &state, const ServerDemand &demand,
                               Instant now) const
 {
--- a/src/libbulrush/request/serverpicker.h
+++ b/src/libbulrush/request/serverpicker.h
@@ -2,6 +2,7 @@
 
 #include "process/routingstate.h"
 #include "process/servergauges.h"
+#include "process/serverknowledge.h"
 #include "version/routingconfig.h"
 
 #include <cstdint>
@@ -75,6 +76,12 @@
 
     ServerPicker(const ServerGauges &gauges, DomainName ownDomain);
 
+    /** Takes in how far the routing state can be relied on. */
+    void setKnowledge(const ServerKnowledge &knowledge);
+
+    /** \returns for how long there has been no word of the store, or zero if it is away. */
+    Duration knowledgeAge(Instant now) const;
+
     ServerPick pick(const RoutingState &state, const ServerDemand &demand, Instant now) const;
 
     /** \returns what a request with \a demand can expect that has to wait. */
@@ -89,6 +96,12 @@
 
     const ServerGauges &m_gauges;
     DomainName m_ownDomain;
+    ServerKnowledge m_knowledge;
 };
 
+inline void ServerPicker::setKnowledge(const ServerKnowledge &knowledge)
+{
+    m_knowledge = knowledge;
+}
+
 } // namespace bulrush
--- a/src/libbulrushentry/entrycounters.cpp
+++ b/src/libbulrushentry/entrycounters.cpp
@@ -1,5 +1,6 @@
 #include "entrycounters.h"
 
+#include <algorithm>
 #include <string_view>
 
 namespace bulrush {
@@ -14,6 +15,22 @@
 
 constexpr std::array<double, 4> quantiles = {0.5, 0.9, 0.99, 0.999};
 
+std::string secondsText(Duration span)
+{
+    return std::to_string(std::chrono::duration<double>(span).count());
+}
+
+std::string quantilesText(const std::string &name, const LatencyHistogram &histogram)
+{
+    std::string text;
+    for (const double share : quantiles) {
+        if (const std::optional<Duration> span = histogram.quantile(share))
+            text +=
+                name + "{quantile=\"" + std::to_string(share) + "\"} " + secondsText(*span) + '\n';
+    }
+    return text + name + "_count " + std::to_string(histogram.total()) + '\n';
+}
+
 } // namespace
 
 void EntryCounters::add(EntryCounter counter, std::uint64_t amount)
@@ -32,6 +49,13 @@
     m_latency.record(latency);
 }
 
+void EntryCounters::recordKnowledgeAge(Duration age)
+{
+    const std::scoped_lock lock{m_mutex};
+    m_knowledgeAge.record(age);
+    m_oldestKnowledge = std::max(m_oldestKnowledge, age);
+}
+
 std::string EntryCounters::text() const
 {
     std::string text;
@@ -41,12 +65,9 @@
         text += "_total " + std::to_string(m_values.at(i).load(std::memory_order_relaxed)) + '\n';
     }
     const std::scoped_lock lock{m_mutex};
-    for (const double share : quantiles) {
-        if (const std::optional<Duration> latency = m_latency.quantile(share))
-            text += "bulrush_latency_seconds{quantile=\"" + std::to_string(share) + "\"} "
-                + std::to_string(std::chrono::duration<double>(*latency).count()) + '\n';
-    }
-    text += "bulrush_latency_seconds_count " + std::to_string(m_latency.total()) + '\n';
+    text += quantilesText("bulrush_latency_seconds", m_latency);
+    text += quantilesText("bulrush_knowledge_age_seconds", m_knowledgeAge);
+    text += "bulrush_knowledge_age_seconds_max " + secondsText(m_oldestKnowledge) + '\n';
     return text;
 }
 
--- a/src/libbulrushentry/entrycounters.h
+++ b/src/libbulrushentry/entrycounters.h
@@ -36,6 +36,9 @@
     /** Records the time from a request's arrival to its answer. */
     void recordLatency(Duration latency);
 
+    /** Records how old what was known of the backend servers was as one of them was chosen. */
+    void recordKnowledgeAge(Duration age);
+
     /** \returns all of it as text for a metrics page, a line for each value. */
     std::string text() const;
 
@@ -45,6 +48,8 @@
     std::array<std::atomic<std::uint64_t>, size> m_values{};
     mutable std::mutex m_mutex;
     LatencyHistogram m_latency;
+    LatencyHistogram m_knowledgeAge;
+    Duration m_oldestKnowledge{};
 };
 
 } // namespace bulrush
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -61,10 +61,12 @@
     , m_relay(m_client, [this] { return m_keys.peers(); })
     , m_worker(m_settings, m_counters)
     , m_readers(m_settings.host, m_settings.domain)
-    , m_state(followParts(),
-              [this](std::shared_ptr<const RoutingState> state) {
-                  m_worker.setState(std::move(state));
-              })
+    , m_state(
+          followParts(),
+          [this](std::shared_ptr<const RoutingState> state) {
+              m_worker.setState(std::move(state));
+          },
+          [this](const ServerKnowledge &knowledge) { m_worker.setKnowledge(knowledge); })
     , m_keys({followParts(), m_client, m_state},
              {m_settings.host, newIncarnation(m_settings.host), m_settings.domain, m_settings.peers,
               patienceOf(m_settings)})
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -35,6 +35,13 @@
     dispatchSoon();
 }
 
+void ForwardContext::setKnowledge(const ServerKnowledge &knowledge)
+{
+    picker.setKnowledge(knowledge);
+    if (queue.size() > 0)
+        dispatchSoon();
+}
+
 void ForwardContext::dispatch(Instant now)
 {
     if (!state || queue.size() == 0)
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -52,6 +52,9 @@
     /** Takes in what the control thread published. */
     void setState(std::shared_ptr<const RoutingState> published);
 
+    /** Takes in how far the published servers can be relied on. */
+    void setKnowledge(const ServerKnowledge &knowledge);
+
     /** Sends what may be sent, and refuses what can't be served any more. */
     void dispatch(Instant now);
 
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -37,6 +37,8 @@
 /** Refused callers come back after this time at the least, and spread over as much again. */
 constexpr double leastRetryAfter = 0.25;
 constexpr double retryAfterSpread = 0.5;
+/** What is known of the backend servers counts as old from then on: half of the drain bound. */
+constexpr Duration oldKnowledge = std::chrono::milliseconds{1000};
 /** Backend servers get this much less time than is left, so that their answers still come in. */
 constexpr Duration answerTravel = std::chrono::milliseconds{4};
 
@@ -49,11 +51,6 @@
     return text.data();
 }
 
-std::string millisecondsText(Duration span)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
-}
-
 } // namespace
 
 ForwardExchange::ForwardExchange(ForwardContext &context,
@@ -192,14 +189,45 @@
     call.timeout = left() + std::chrono::seconds{1};
     call.sendBy = m_answerBy - RequestQueue::leastServiceTime;
     call.echoedField = platform::requestIdField;
+    noteChoice();
     m_call = m_context.servers.send(
         std::move(call),
         [self = shared_from_this()](const io::HttpResult &result) { self->attemptEnded(result); });
 }
 
+/** Notes by what the server was chosen. */
+void ForwardExchange::noteChoice()
+{
+    const Duration age = m_context.picker.knowledgeAge(m_sentAt);
+    m_context.counters.recordKnowledgeAge(age);
+    const KnownServer *server = m_context.state->server(m_service, m_server);
+    m_drainsAfter = server ? server->drainsAfter : std::nullopt;
+    m_isChoiceLogged = age >= oldKnowledge || m_drainsAfter;
+}
+
+/** Tells when a request to a server that may have left took each step on its way. */
+void ForwardExchange::logSteps(const io::CallTimes &times)
+{
+    if (!std::exchange(m_isChoiceLogged, false))
+        return;
+    const auto sinceChoice = [this](const std::optional<Instant> &step) {
+        return step ? io::millisecondsText(*step - m_sentAt) : "never";
+    };
+    const std::string drains =
+        m_drainsAfter ? io::millisecondsText(m_sentAt - *m_drainsAfter) : "unknown";
+    io::logEvent(LogLevel::Info, "sent-to-leaving",
+                 {{"request", m_terms.id},
+                  {"server", m_server.value()},
+                  {"drains-ms-at-most", drains},
+                  {"knowledge-ms", io::millisecondsText(m_context.picker.knowledgeAge(m_sentAt))},
+                  {"connected-ms", sinceChoice(times.connectedAt)},
+                  {"written-ms", sinceChoice(times.writtenAt)}});
+}
+
 void ForwardExchange::attemptEnded(const io::HttpResult &result)
 {
     m_call.reset();
+    logSteps(result.times);
     if (m_isOver)
         return;
     m_context.dispatchSoon();
@@ -258,7 +286,7 @@
                  {{"request", m_terms.id},
                   {"server", m_server.value()},
                   {"sent", isUnsent ? "no" : "yes"},
-                  {"after-ms", millisecondsText(now - m_sentAt)},
+                  {"after-ms", io::millisecondsText(now - m_sentAt)},
                   {"error", result.error.message()}});
     if (isUnsent) {
         if (!m_isDividedByKey)
@@ -383,6 +411,7 @@
         m_context.timers.cancel(*m_timeout);
     if (m_call) {
         const Instant now = io::hostNow();
+        logSteps(m_context.servers.times(*m_call));
         m_context.servers.cancel(*m_call);
         m_context.gauges.attemptEnded(m_server, AttemptSign::Abandoned, now - m_sentAt,
                                       std::nullopt, now);
@@ -414,8 +443,8 @@
                   {"assignment", std::to_string(assignment ? assignment->sequence : 0)},
                   {"server", m_server.value()},
                   {"attempts", std::to_string(m_attempts)},
-                  {"ms", millisecondsText(elapsed())},
-                  {"left-ms", millisecondsText(left())},
+                  {"ms", io::millisecondsText(elapsed())},
+                  {"left-ms", io::millisecondsText(left())},
                   {"config", std::to_string(version)}});
 }
 
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -44,6 +44,8 @@
     bool admitKey();
     void readBody();
     void enqueue(Instant notBefore);
+    void noteChoice();
+    void logSteps(const io::CallTimes &times);
     void attemptEnded(const io::HttpResult &result);
     void answered(const io::HttpResult &result);
     void broke(const io::HttpResult &result);
@@ -81,6 +83,10 @@
     int m_attempts = 0;
     ServerName m_server;
     Instant m_sentAt;
+    /** Of the server, as it was chosen. */
+    std::optional<Instant> m_drainsAfter;
+    /** The server may have left, by what was known: the steps of the attempt are logged. */
+    bool m_isChoiceLogged = false;
     std::optional<io::ServerClient::CallId> m_call;
     /** The answer of a server that failed, in case no other one does better. */
     std::optional<io::HttpResponse> m_failure;
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -63,6 +63,11 @@
     });
 }
 
+void ForwardWorker::setKnowledge(const ServerKnowledge &knowledge)
+{
+    asio::post(m_loop, [this, knowledge] { m_context.setKnowledge(knowledge); });
+}
+
 void ForwardWorker::setKeyShares(std::vector<KeyShares> shares)
 {
     asio::post(m_loop, [this, shares = std::move(shares)] {
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -17,13 +17,16 @@
  * have died are noticed by probes.
  */
 constexpr FollowPace configPace{std::chrono::seconds{10}, {}};
+
 /** Servers that start write often; two seconds are there to follow one that leaves. */
 constexpr FollowPace serverPace{std::chrono::seconds{10}, std::chrono::milliseconds{300}};
 
 } // namespace
 
-StatePublisher::StatePublisher(const FollowParts &parts, PublishHandler publish)
+StatePublisher::StatePublisher(const FollowParts &parts, PublishHandler publish,
+                               KnowledgeHandler tellKnowledge)
     : m_publish(std::move(publish))
+    , m_tellKnowledge(std::move(tellKnowledge))
     , m_configs(parts, std::string{platform::operatorTable}, configPace)
     , m_servers(parts, std::string{platform::serverTable}, serverPace)
 { }
@@ -38,7 +41,8 @@
 void StatePublisher::start()
 {
     m_configs.start([this](const TableChange &change) { takeConfig(change); }, [](Instant) {});
-    m_servers.start([this](const TableChange &change) { takeServers(change); }, [](Instant) {});
+    m_servers.start([this](const TableChange &change) { takeServers(change); },
+                    [this](Instant) { tellKnowledge(); });
 }
 
 void StatePublisher::setAssignment(KeyAssignment assignment)
@@ -66,6 +70,7 @@
 {
     if (m_directory.advance(now))
         publish();
+    tellKnowledge();
 }
 
 void StatePublisher::takeConfig(const TableChange &change)
@@ -109,26 +114,52 @@
                          {{"server", row.key}, {"row", std::to_string(row.version)}});
             continue;
         }
-        const KnownServer *known = m_directory.find(record->id);
-        if (!known || known->record.isDraining != record->isDraining || known->goneSince)
-            io::logEvent(LogLevel::Info, "server-seen",
-                         {{"server", record->id.value()},
-                          {"service", record->service.value()},
-                          {"address", toString(record->address)},
-                          {"draining", record->isDraining ? "yes" : "no"},
-                          {"row", std::to_string(row.version)}});
+        logSeen(*record, row.version, change);
         records.push_back(std::move(*record));
     }
     if (change.isWhole) {
-        m_directory.takeAll(records, change.isAfterOutage, now);
+        m_directory.takeAll(records, change.isAfterOutage, now, change.unchangedUntil);
     } else {
         for (const ServerRecord &record : records)
-            m_directory.take(record, now);
+            m_directory.take(record, now, change.unchangedUntil);
     }
     m_hasServers = true;
     publish();
 }
 
+/** Tells of a server that is new here, or says something else of itself. */
+void StatePublisher::logSeen(const ServerRecord &record, std::uint64_t row,
+                             const TableChange &change) const
+{
+    const KnownServer *known = m_directory.find(record.id);
+    if (known && known->record.isDraining == record.isDraining && !known->goneSince)
+        return;
+    const Instant now = io::hostNow();
+    // It wrote that between the two instants.
+    io::logEvent(LogLevel::Info, "server-seen",
+                 {{"server", record.id.value()},
+                  {"service", record.service.value()},
+                  {"address", toString(record.address)},
+                  {"draining", record.isDraining ? "yes" : "no"},
+                  {"row", std::to_string(row)},
+                  {"source", m_servers.source()},
+                  {"unchanged-until-ms-ago", io::millisecondsText(now - change.unchangedUntil)},
+                  {"told-ms-ago", io::millisecondsText(now - m_servers.knownAt())}});
+}
+
+void StatePublisher::tellKnowledge()
+{
+    const ServerKnowledge knowledge{m_servers.knownAt(), m_servers.isCutOff()};
+    if (knowledge == m_knowledge)
+        return;
+    if (knowledge.isStoreAway != m_knowledge.isStoreAway)
+        io::logEvent(LogLevel::Info, "servers-confirmable",
+                     {{"by", knowledge.isStoreAway ? "nobody" : m_servers.source()},
+                      {"age-ms", io::millisecondsText(io::hostNow() - knowledge.asOf)}});
+    m_knowledge = knowledge;
+    m_tellKnowledge(knowledge);
+}
+
 void StatePublisher::publish()
 {
     auto state = std::make_shared<RoutingState>();
--- a/src/libbulrushentry/statepublisher.h
+++ b/src/libbulrushentry/statepublisher.h
@@ -2,6 +2,7 @@
 
 #include "process/routingstate.h"
 #include "process/serverdirectory.h"
+#include "process/serverknowledge.h"
 #include "tablefollower.h"
 
 #include <functional>
@@ -20,7 +21,11 @@
 public:
     using PublishHandler = std::function<void(std::shared_ptr<const RoutingState>)>;
 
-    StatePublisher(const FollowParts &parts, PublishHandler publish);
+    /** Told how far the servers that were published last can be relied on. */
+    using KnowledgeHandler = std::function<void(const ServerKnowledge &)>;
+
+    StatePublisher(const FollowParts &parts, PublishHandler publish,
+                   KnowledgeHandler tellKnowledge);
 
     /** Starts to follow configurations and servers. */
     void start();
@@ -51,9 +56,13 @@
 private:
     void takeConfig(const TableChange &change);
     void takeServers(const TableChange &change);
+    void logSeen(const ServerRecord &record, std::uint64_t row, const TableChange &change) const;
     void publish();
+    void tellKnowledge();
 
     PublishHandler m_publish;
+    KnowledgeHandler m_tellKnowledge;
+    ServerKnowledge m_knowledge;
     TableFollower m_configs;
     TableFollower m_servers;
     ServerDirectory m_directory;
--- a/src/libbulrushentry/tablefollower.cpp
+++ b/src/libbulrushentry/tablefollower.cpp
@@ -63,18 +63,16 @@
         return;
     }
     m_parts.readers.served(reader.host);
-    m_knownAt = std::max(m_knownAt, asOf);
+    const Instant unchangedUntil = std::exchange(m_knownAt, std::max(m_knownAt, asOf));
     // A reader that knows less than this daemon did when it asked has no rows for it.
     if (rows->version > m_version) {
         const platform::RowsOutcome outcome{{}, std::move(rows->rows), rows->version};
         m_version = rows->version;
         remember(outcome, rows->isWhole);
-        m_answered(asOf);
         if (rows->isWhole || !outcome.rows.empty())
-            m_changed({outcome.rows, m_version, rows->isWhole, false});
-    } else {
-        m_answered(asOf);
+            m_changed({outcome.rows, m_version, rows->isWhole, false, unchangedUntil});
     }
+    m_answered(asOf);
     follow();
 }
 
@@ -119,12 +117,12 @@
         io::logEvent(LogLevel::Error, "rows-unreadable",
                      {{"table", m_table}, {"count", std::to_string(outcome.skipped)}});
     m_version = std::max(m_version, outcome.version);
-    m_knownAt = std::max(m_knownAt, givenAt);
+    const Instant unchangedUntil = std::exchange(m_knownAt, std::max(m_knownAt, givenAt));
     remember(outcome, isWhole);
-    m_answered(givenAt);
     if (isWhole || !outcome.rows.empty())
         m_changed({std::move(outcome.rows), m_version, isWhole,
-                   wasFailing && now - m_failingSince > outage});
+                   wasFailing && now - m_failingSince > outage, unchangedUntil});
+    m_answered(givenAt);
     published();
     if (m_pace.pause > Duration::zero() && !isWhole)
         m_parts.timers.after(m_pace.pause, [this](Instant) { follow(); });
@@ -195,13 +193,13 @@
         return;
     const bool hasChanged = rows.version > m_version || !m_hasRows;
     m_version = rows.version;
-    m_knownAt = asOf;
+    const Instant unchangedUntil = std::exchange(m_knownAt, asOf);
+    if (hasChanged) {
+        const platform::RowsOutcome outcome{{}, std::move(rows.rows), rows.version};
+        remember(outcome, true);
+        m_changed({outcome.rows, m_version, true, false, unchangedUntil});
+    }
     m_answered(asOf);
-    if (!hasChanged)
-        return;
-    const platform::RowsOutcome outcome{{}, std::move(rows.rows), rows.version};
-    remember(outcome, true);
-    m_changed({outcome.rows, m_version, true, false});
 }
 
 bool TableFollower::isServing(Instant now) const
--- a/src/libbulrushentry/tablefollower.h
+++ b/src/libbulrushentry/tablefollower.h
@@ -24,6 +24,8 @@
     bool isWhole = false;
     /** The store could not be reached before; rows may have lapsed meanwhile. */
     bool isAfterOutage = false;
+    /** At that instant the store was known to hold the rows as they were before these. */
+    Instant unchangedUntil;
 };
 
 /** How a table is followed: a matter of how soon changes are known and what the calls cost. */
@@ -98,6 +100,12 @@
     /** \returns whether the last call failed. */
     bool isCutOff() const;
 
+    /** \returns when the store, asked here or by another daemon, told last that rows are so. */
+    Instant knownAt() const;
+
+    /** \returns whom changes come from: "store", or a host. */
+    const std::string &source() const;
+
     const std::string &table() const;
 
     /** \returns whether the rows are known. */
@@ -177,4 +185,14 @@
     return m_isFailing;
 }
 
+inline Instant TableFollower::knownAt() const
+{
+    return m_knownAt;
+}
+
+inline const std::string &TableFollower::source() const
+{
+    return m_source;
+}
+
 } // namespace bulrush
--- a/src/libbulrushio/connection/httpclient.h
+++ b/src/libbulrushio/connection/httpclient.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -54,12 +55,23 @@
     Answered,     ///< the answer is whole
 };
 
+/** When a call took its steps; none is set that it did not come to. */
+struct CallTimes
+{
+    /** It had a connection. */
+    std::optional<Instant> connectedAt;
+    /** All of the request was handed to the host. */
+    std::optional<Instant> writtenAt;
+};
+
 /** The end of a transfer. \a response is whole if, and only if, \a error is clear. */
 struct HttpResult
 {
     std::error_code error;
     TransferStage stage = TransferStage::NotConnected;
     HttpResponse response;
+    /** Told by ServerClient alone. */
+    CallTimes times = {};
 };
 
 /**
--- a/src/libbulrushio/connection/serverclient.cpp
+++ b/src/libbulrushio/connection/serverclient.cpp
@@ -127,6 +127,13 @@
     return connection && connection->stage() != TransferStage::NotConnected;
 }
 
+CallTimes ServerClient::times(CallId id) const
+{
+    const auto call = m_calls.find(id);
+    const ConnectionPtr connection = call == m_calls.end() ? nullptr : call->second.lock();
+    return connection ? connection->times() : CallTimes{};
+}
+
 ConnectionPtr ServerClient::connectionTo(const Endpoint &server, const std::string &run)
 {
     const Instant now = hostNow();
--- a/src/libbulrushio/connection/serverclient.h
+++ b/src/libbulrushio/connection/serverclient.h
@@ -44,6 +44,9 @@
     /** \returns whether any of an open call may have gone out; false if it is not open. */
     bool isSent(CallId id) const;
 
+    /** \returns when the call \a id took its steps so far; none if it has ended. */
+    CallTimes times(CallId id) const;
+
     /** Connects as \a like would if there is no connection for it, for calls to come. */
     void keepConnected(const ServerCall &like);
 
--- a/src/libbulrushio/connection/serverconnection.cpp
+++ b/src/libbulrushio/connection/serverconnection.cpp
@@ -70,6 +70,7 @@
     m_head = headText(m_call);
     m_parser.begin(m_call.method == "HEAD");
     m_stage = TransferStage::NotConnected;
+    m_times = {};
     m_deadline = hostNow() + m_call.timeout;
     if (m_isConnected)
         write();
@@ -165,6 +166,7 @@
 void ServerConnection::write()
 {
     m_stage = TransferStage::Sending;
+    m_times.connectedAt = hostNow();
     const Duration left = std::max(Duration::zero(), m_deadline - hostNow());
     m_timer.expires_after(left);
     m_timer.async_wait([self = shared_from_this()](asio::error_code failure) {
@@ -185,8 +187,10 @@
     if (m_isClosed || !m_handler)
         return;
     // A failed write leaves the end to the reader: the server may have answered and closed.
-    if (!error)
-        m_stage = TransferStage::Sent;
+    if (error)
+        return;
+    m_stage = TransferStage::Sent;
+    m_times.writtenAt = hostNow();
 }
 
 void ServerConnection::read()
@@ -298,6 +302,7 @@
     } else {
         close();
     }
+    result.times = m_times;
     handler(std::move(result));
 }
 
--- a/src/libbulrushio/connection/serverconnection.h
+++ b/src/libbulrushio/connection/serverconnection.h
@@ -63,6 +63,9 @@
     /** \returns until when the connection may be used again. \pre isFree() */
     Instant idleUntil() const;
 
+    /** \returns when the call on it took its steps. */
+    const CallTimes &times() const;
+
     /** \returns how far the call on it has come. */
     TransferStage stage() const;
 
@@ -96,6 +99,7 @@
     TransferStage m_stage = TransferStage::NotConnected;
     Instant m_idleUntil;
     Instant m_deadline;
+    CallTimes m_times;
     /** Calls that were sent on it so far. */
     int m_callCount = 0;
     bool m_isConnected = false;
@@ -111,6 +115,11 @@
     return m_stage;
 }
 
+inline const CallTimes &ServerConnection::times() const
+{
+    return m_times;
+}
+
 inline const Endpoint &ServerConnection::server() const
 {
     return m_server;
--- a/src/libbulrushio/process/logging.cpp
+++ b/src/libbulrushio/process/logging.cpp
@@ -134,6 +134,11 @@
     sink().reset();
 }
 
+std::string millisecondsText(Duration span)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
 std::uint64_t droppedLogLines()
 {
     return dropped.load(std::memory_order_relaxed);
--- a/src/libbulrushio/process/logging.h
+++ b/src/libbulrushio/process/logging.h
@@ -22,6 +22,9 @@
  */
 constexpr std::size_t logQueueLength = 4096;
 
+/** \returns \a span in whole milliseconds, as log lines give it. Thread safe. */
+std::string millisecondsText(Duration span);
+
 /**
  * Sends log lines of \a level and above to standard output, as `time level host event name=value
  * …`, from a thread of their own. Called once, before any thread logs.
--- a/tests/keydecisions/test_keyrenewal.cpp
+++ b/tests/keydecisions/test_keyrenewal.cpp
@@ -28,7 +28,8 @@
         for (std::size_t i = 0; i < servers; ++i) {
             const ServerName id{"s" + std::to_string(i)};
             const DomainName domain{i % 4 == 0 ? "b" : "a"};
-            directory.take({id, service, {"10.0.0.2", 80}, domain, 3, false, {}}, now - 1s);
+            directory.take({id, service, {"10.0.0.2", 80}, domain, 3, false, {}}, now - 1s,
+                           now - 1s);
             const auto first = static_cast<KeyPlace>(i * 100);
             assignment.ranges.push_back({{first, first + 99}, id, 1, {}, {}, 0});
         }
--- a/tests/keyworld/keyworld.cpp
+++ b/tests/keyworld/keyworld.cpp
@@ -95,7 +95,7 @@
         server->leases = standins::LeaseTable{cells, i % 2 == 0 ? 20'000 : 0};
         server->name = ServerName{"s" + std::to_string(i) + "-0"};
         server->port = static_cast<std::uint16_t>(i + 1);
-        m_directory.take(recordOf(server->name, i, server->port), m_now - 10s);
+        m_directory.take(recordOf(server->name, i, server->port), m_now - 10s, m_now - 10s);
         m_servers.push_back(std::move(server));
     }
     for (std::size_t i = 0; i < daemonCount; ++i) {
@@ -783,7 +783,7 @@
     note(server.name.value() + " drains");
     ServerRecord record = m_directory.find(server.name)->record;
     record.isDraining = true;
-    m_directory.take(record, m_now);
+    m_directory.take(record, m_now, m_now);
     after(4s, [this, &server, id = record.id] {
         m_directory.remove(ServerName{wireNameOf(id)}, m_now);
         replaceServer(server);
@@ -806,7 +806,7 @@
         server.name =
             ServerName{"s" + std::to_string(server.index) + "-" + std::to_string(++server.run)};
         ++server.starts;
-        m_directory.take(recordOf(server.name, server.index, server.port), m_now);
+        m_directory.take(recordOf(server.name, server.index, server.port), m_now, m_now);
     });
 }
 
@@ -844,7 +844,7 @@
         after(m_storeAwayUntil - m_now + 1ms, [this, &server, run] { recordRun(server, run); });
         return;
     }
-    m_directory.take(recordOf(server.name, server.index, server.port), m_now);
+    m_directory.take(recordOf(server.name, server.index, server.port), m_now, m_now);
 }
 
 /** Daemons see their connections to \a server end, unless a cut keeps that from them. */
--- a/tests/routing/test_serverdirectory.cpp
+++ b/tests/routing/test_serverdirectory.cpp
@@ -29,18 +29,19 @@
 BOOST_AUTO_TEST_CASE(aServerThatDrainsIsNotReadySinceThen)
 {
     ServerDirectory directory;
-    directory.take(record("one"), start);
+    directory.take(record("one"), start, start);
     BOOST_TEST(isReady(directory, "one"));
-    directory.take(record("one", true), start + 1s);
-    directory.take(record("one", true), start + 2s);
+    directory.take(record("one", true), start + 1s, start + 900ms);
+    directory.take(record("one", true), start + 2s, start + 2s);
     BOOST_TEST(!isReady(directory, "one"));
     BOOST_TEST((directory.find(ServerName{"one"})->drainingSince == start + 1s));
+    BOOST_TEST((directory.find(ServerName{"one"})->drainsAfter == start + 900ms));
 }
 
 BOOST_AUTO_TEST_CASE(aServerWithoutARecordIsRememberedForItsKeys)
 {
     ServerDirectory directory;
-    directory.take(record("one"), start);
+    directory.take(record("one"), start, start);
     directory.remove(ServerName{"one"}, start + 1s);
     BOOST_TEST(!isReady(directory, "one"));
     BOOST_TEST((directory.find(ServerName{"one"})->goneSince == start + 1s));
@@ -53,12 +54,12 @@
 BOOST_AUTO_TEST_CASE(recordsThatLapsedInAnOutageMayComeBack)
 {
     ServerDirectory directory;
-    directory.take(record("one"), start);
-    directory.take(record("two"), start);
+    directory.take(record("one"), start, start);
+    directory.take(record("two"), start, start);
     const std::vector<ServerRecord> none;
-    directory.takeAll(none, true, start + 5s);
+    directory.takeAll(none, true, start + 5s, start + 5s);
     BOOST_TEST(isReady(directory, "one"));
-    directory.take(record("one"), start + 6s);
+    directory.take(record("one"), start + 6s, start + 6s);
     BOOST_TEST(directory.advance(start + 8s));
     BOOST_TEST(isReady(directory, "one"));
     BOOST_TEST(!isReady(directory, "two"));
@@ -67,10 +68,10 @@
 BOOST_AUTO_TEST_CASE(aServerInWhosePlaceAnotherAnswersHasEndedWhateverItsRecordSays)
 {
     ServerDirectory directory;
-    directory.take(record("one"), start);
+    directory.take(record("one"), start, start);
     BOOST_TEST(directory.noteEnded(ServerName{"one"}, start + 1s));
     BOOST_TEST(!directory.noteEnded(ServerName{"one"}, start + 2s));
-    directory.take(record("one"), start + 2s);
+    directory.take(record("one"), start + 2s, start + 2s);
     BOOST_TEST(!isReady(directory, "one"));
     BOOST_TEST(!directory.noteEnded(ServerName{"nobody"}, start));
 }
@@ -78,9 +79,9 @@
 BOOST_AUTO_TEST_CASE(withoutAnOutageWhatIsMissingIsGoneAtOnce)
 {
     ServerDirectory directory;
-    directory.take(record("one"), start);
+    directory.take(record("one"), start, start);
     const std::vector<ServerRecord> others{record("two")};
-    directory.takeAll(others, false, start + 1s);
+    directory.takeAll(others, false, start + 1s, start + 1s);
     BOOST_TEST(!isReady(directory, "one"));
     BOOST_TEST(isReady(directory, "two"));
 }
@@ -93,17 +94,17 @@
         return made;
     };
     ServerDirectory directory;
-    directory.take(record("two"), start);
-    directory.take(run("one@1"), start);
-    directory.take(run("one@2"), start + 1s);
+    directory.take(record("two"), start, start);
+    directory.take(run("one@1"), start, start);
+    directory.take(run("one@2"), start + 1s, start + 1s);
     BOOST_TEST(!isReady(directory, "one@1"));
     BOOST_TEST(isReady(directory, "one@2"));
     BOOST_TEST(isReady(directory, "two"));
     BOOST_TEST(directory.latestRunOf(ServerName{"one@1"})->record.id.value() == "one@2");
-    directory.take(run("one@3"), start + 2s);
+    directory.take(run("one@3"), start + 2s, start + 2s);
     BOOST_TEST(directory.latestRunOf(ServerName{"one@1"})->record.id.value() == "one@3");
     // A record of the first run that comes late changes nothing.
-    directory.take(run("one@1"), start + 3s);
+    directory.take(run("one@1"), start + 3s, start + 3s);
     BOOST_TEST(!isReady(directory, "one@1"));
     BOOST_TEST(isReady(directory, "one@3"));
     directory.remove(ServerName{"one"}, start + 4s);
