Let one budget bound what reaches leaving servers, from the store's word on

Cause: the bound on leaving servers was met by a chain of timeouts that nobody added up, each counted from when its own hop heard: 1.5 s for which a reader served others after the store's last answer, 1 s for which they waited for it, 0.6 s of use after hearing. And whether a reader serves went by the last answer about any table, so that a lost wait for servers showed after 10.9 s.

Change: what is known of servers bears the instant at which the store last told it, over all hops. A server is used until a part of the bound (now a setting from the platform's terms) after it was last known to stay: half once it is known to drain, 0.7 while newer word could be had. Readers have the store's word every fifth of the bound and pass on that nothing has changed; knowledge of half the bound is confirmed at the store beside any wait. Where the store answers nobody, callers are served by what is known. After a failed call all waits are short for 10 s, so that a lost answer about another table shows.

The same class: the time for a shutdown was fixed at 5.5 s; it follows the platform's grace now.

In aServerThatDrainsOrIsGoneGetsNothing the use of a draining owner, 0.6 s from hearing of it, is replaced by 1 s from when it was last known to stay, as strict over all: hearing late no longer adds to it.

--- /dev/null
+++ b/src/libbulrush/process/drainbudget.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "process/clock.h"
+
+namespace bulrush {
+
+/**
+ * How the time is spent within which a backend server that leaves is to get no more requests. The
+ * bound runs from the store's acknowledgement of the server's word to the arrival of a request, so
+ * that all hops between share it, and each part is a share of it: the daemon that reads, those that
+ * follow it, the choice of a server, the connection, and bytes on a link behind others.
+ *
+ * Whatever happens on the way, the choice keeps the bound by itself: it goes by when the store was
+ * last known to say that the server stays. The parts before it only see to it that this is seldom
+ * long ago. With a time-out of its own for each hop, a reader that lost the store and then froze
+ * cost 2.9 s where 2 s are allowed, and an answer that was lost cost more than 8 s (processes on
+ * one host).
+ *
+ * Immutable; thread safe.
+ */
+class DrainBudget
+{
+public:
+    /** The shortest bound of the deployments that are known. */
+    static constexpr Duration shortestBound = std::chrono::seconds{2};
+
+    explicit constexpr DrainBudget(Duration bound = shortestBound)
+        : m_bound(bound)
+    { }
+
+    constexpr Duration bound() const
+    {
+        return m_bound;
+    }
+
+    /** Between two answers of the store to who reads it: one call brings several changes. */
+    constexpr Duration readerPause() const
+    {
+        return part(10);
+    }
+
+    /** For how long the store may hold a call of who reads it, so that its silence shows. */
+    constexpr Duration readerWait() const
+    {
+        return part(20);
+    }
+
+    /** Knowledge of this age is confirmed elsewhere, whoever is waited for. */
+    constexpr Duration confirmAfter() const
+    {
+        return part(50);
+    }
+
+    /** For that answer; without it the store is taken to be away from this daemon. */
+    constexpr Duration confirmWithin() const
+    {
+        return part(15);
+    }
+
+    /** A server that drains gets requests until this long after it was known to stay. */
+    constexpr Duration drainingUse() const
+    {
+        return part(50);
+    }
+
+    /** The same for one that is not known to drain, by knowledge that could be renewed. */
+    constexpr Duration unconfirmedUse() const
+    {
+        return part(70);
+    }
+
+    /**
+     * Requests that wait for a connection are sent until then. The rest is for bytes on their way:
+     * on a link of 10 Mbit/s they wait up to 0.6 s behind uploads.
+     */
+    constexpr Duration lastSend() const
+    {
+        return part(75);
+    }
+
+private:
+    constexpr Duration part(int percent) const
+    {
+        return m_bound * percent / 100;
+    }
+
+    Duration m_bound;
+};
+
+static_assert(DrainBudget{}.confirmAfter() + DrainBudget{}.confirmWithin()
+              < DrainBudget{}.unconfirmedUse());
+
+} // namespace bulrush
--- a/src/libbulrush/process/entrysettings.h
+++ b/src/libbulrush/process/entrysettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/daemonsettings.h"
+#include "process/drainbudget.h"
 #include "process/endpoint.h"
 #include "process/retrybudgets.h"
 #include "version/identifier.h"
@@ -26,6 +27,8 @@
     Endpoint store;
     /** How long a graceful shutdown lets requests in flight go on. */
     Duration drainTime = std::chrono::milliseconds{5500};
+    /** How long after its word a backend server that leaves may still get requests. */
+    Duration serverDrain = DrainBudget::shortestBound;
     CallerLimits limits;
     /** What the host has of processors, in cores. */
     double processors = 1.0;
--- a/src/libbulrush/process/serverdirectory.cpp
+++ b/src/libbulrush/process/serverdirectory.cpp
@@ -36,10 +36,6 @@
         return; // a record that is late
     server.goneSince.reset();
     server.missingSince.reset();
-    if (!record.isDraining)
-        server.drainingSince.reset();
-    else if (!server.drainingSince)
-        server.drainingSince = now;
     if (!record.isDraining)
         server.drainsAfter.reset();
     else if (!server.drainsAfter)
--- a/src/libbulrush/process/serverdirectory.h
+++ b/src/libbulrush/process/serverdirectory.h
@@ -14,8 +14,6 @@
 {
     ServerRecord record;
     Instant firstSeen;
-    /** Since when it is known to drain. */
-    std::optional<Instant> drainingSince;
     /** Set while it drains: the last instant at which it was known not to. */
     std::optional<Instant> drainsAfter;
     /** Since when its record is gone; it may still serve, but gets nothing any more. */
--- a/src/libbulrush/process/storeclock.cpp
+++ b/src/libbulrush/process/storeclock.cpp
@@ -5,13 +5,6 @@
 namespace bulrush {
 
 Instant StoreClock::givenAt(Instant sentAt, Instant receivedAt, Duration storeTime)
-{
-    const Instant given = dated(sentAt, receivedAt, storeTime);
-    m_newestGiven = std::max(m_newestGiven, given);
-    return given;
-}
-
-Instant StoreClock::dated(Instant sentAt, Instant receivedAt, Duration storeTime)
 {
     const Bound own{sentAt.time_since_epoch() - storeTime - grain, sentAt};
     if (!m_best)
--- a/src/libbulrush/process/storeclock.h
+++ b/src/libbulrush/process/storeclock.h
@@ -28,12 +28,7 @@
      */
     Instant givenAt(Instant sentAt, Instant receivedAt, Duration storeTime);
 
-    /** \returns the latest that was returned; the clock's epoch if there was no answer yet. */
-    Instant newestGiven() const;
-
 private:
-    Instant dated(Instant sentAt, Instant receivedAt, Duration storeTime);
-
     /** Our instant of a reading of the store's clock is at least the reading plus the offset. */
     struct Bound
     {
@@ -42,12 +37,6 @@
     };
 
     std::optional<Bound> m_best;
-    Instant m_newestGiven;
 };
 
-inline Instant StoreClock::newestGiven() const
-{
-    return m_newestGiven;
-}
-
 } // namespace bulrush
--- a/src/libbulrush/request/serverpicker.cpp
+++ b/src/libbulrush/request/serverpicker.cpp
@@ -28,9 +28,11 @@
 
 } // namespace
 
-ServerPicker::ServerPicker(const ServerGauges &gauges, DomainName ownDomain)
+ServerPicker::ServerPicker(const ServerGauges &gauges, DomainName ownDomain,
+                           const DrainBudget &budget)
     : m_gauges(gauges)
     , m_ownDomain(std::move(ownDomain))
+    , m_budget(budget)
 { }
 
 Duration ServerPicker::knowledgeAge(Instant now) const
@@ -38,9 +40,19 @@
     return m_knowledge.isStoreAway ? Duration::zero() : now - m_knowledge.asOf;
 }
 
+Instant ServerPicker::lastSend(const KnownServer &server) const
+{
+    if (server.drainsAfter)
+        return *server.drainsAfter + m_budget.lastSend();
+    return m_knowledge.isStoreAway ? Instant::max() : m_knowledge.asOf + m_budget.lastSend();
+}
+
 ServerPick ServerPicker::pick(const RoutingState &state, const ServerDemand &demand,
                               Instant now) const
 {
+    // News is on its way; until it is here, any server may have left.
+    if (knowledgeAge(now) > m_budget.unconfirmedUse())
+        return NoServer::Busy;
     return demand.key ? owner(state, demand, now) : fastest(state, demand, now);
 }
 
@@ -67,7 +79,7 @@
 
 /** \returns the server that may be sent work for the key, or null. */
 const KnownServer *ServerPicker::ownerOf(const RoutingState &state, const ServerDemand &demand,
-                                         Instant now)
+                                         Instant now) const
 {
     const auto assignment = state.assignments.find(demand.service);
     if (assignment == state.assignments.end())
@@ -78,7 +90,7 @@
     const KnownServer *server = state.server(demand.service, owned->owner);
     if (!server || server->goneSince)
         return nullptr;
-    if (server->drainingSince && now - *server->drainingSince > drainingUse)
+    if (server->drainsAfter && now - *server->drainsAfter > m_budget.drainingUse())
         return nullptr;
     return server;
 }
--- a/src/libbulrush/request/serverpicker.h
+++ b/src/libbulrush/request/serverpicker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/drainbudget.h"
 #include "process/routingstate.h"
 #include "process/servergauges.h"
 #include "process/serverknowledge.h"
@@ -54,6 +55,11 @@
  * is expected to be answered first. Servers of the daemon's own failure domain are preferred, by a
  * margin that stands for the price of bytes between domains and is large for uploads.
  *
+ * A server is used until a part of the drain bound after it was last known to stay: the owner of a
+ * key for a while after it was known to drain, until its keys have moved, and any server while
+ * nothing newer was heard though the store answers. Otherwise one slow hop on the way of the news
+ * sends requests to servers that have left.
+ *
  * Not thread safe.
  */
 class ServerPicker
@@ -66,15 +72,9 @@
     static constexpr double domainMargin = 0.35;
     /** The same for uploads, whose bodies cost more to carry over than a late answer loses. */
     static constexpr Duration uploadDomainMargin = std::chrono::milliseconds{1500};
-    /**
-     * The owner of a key goes on getting requests for this time after it was known to drain, until
-     * its keys have moved. A leaving server is to be left alone after two seconds; of 64 daemons
-     * some hear of it 0.8 s late while many servers leave, and on a link of 10 Mbit/s what is sent
-     * waits up to 0.6 s behind uploads.
-     */
-    static constexpr Duration drainingUse = std::chrono::milliseconds{600};
 
-    ServerPicker(const ServerGauges &gauges, DomainName ownDomain);
+    ServerPicker(const ServerGauges &gauges, DomainName ownDomain,
+                 const DrainBudget &budget = DrainBudget{});
 
     /** Takes in how far the routing state can be relied on. */
     void setKnowledge(const ServerKnowledge &knowledge);
@@ -82,20 +82,26 @@
     /** \returns for how long there has been no word of the store, or zero if it is away. */
     Duration knowledgeAge(Instant now) const;
 
+    const DrainBudget &budget() const;
+
     ServerPick pick(const RoutingState &state, const ServerDemand &demand, Instant now) const;
 
+    /** \returns until when a request for \a server may be sent, once it has a connection. */
+    Instant lastSend(const KnownServer &server) const;
+
     /** \returns what a request with \a demand can expect that has to wait. */
     ServerOutlook outlook(const RoutingState &state, const ServerDemand &demand, Instant now) const;
 
 private:
-    static const KnownServer *ownerOf(const RoutingState &state, const ServerDemand &demand,
-                                      Instant now);
+    const KnownServer *ownerOf(const RoutingState &state, const ServerDemand &demand,
+                               Instant now) const;
     ServerPick owner(const RoutingState &state, const ServerDemand &demand, Instant now) const;
     ServerPick fastest(const RoutingState &state, const ServerDemand &demand, Instant now) const;
     Duration costOf(const ServerRecord &server, const ServerDemand &demand, Instant now) const;
 
     const ServerGauges &m_gauges;
     DomainName m_ownDomain;
+    DrainBudget m_budget;
     ServerKnowledge m_knowledge;
 };
 
@@ -104,4 +110,9 @@
     m_knowledge = knowledge;
 }
 
+inline const DrainBudget &ServerPicker::budget() const
+{
+    return m_budget;
+}
+
 } // namespace bulrush
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -62,7 +62,7 @@
     , m_worker(m_settings, m_counters)
     , m_readers(m_settings.host, m_settings.domain)
     , m_state(
-          followParts(),
+          followParts(), DrainBudget{m_settings.serverDrain},
           [this](std::shared_ptr<const RoutingState> state) {
               m_worker.setState(std::move(state));
           },
--- a/src/libbulrushentry/followergroup.cpp
+++ b/src/libbulrushentry/followergroup.cpp
@@ -19,9 +19,27 @@
     }
 }
 
-bool FollowerGroup::isAnyCutOff() const
+void FollowerGroup::confirmAll()
 {
-    return std::ranges::any_of(m_followers, &TableFollower::isCutOff);
+    for (TableFollower *follower : m_followers)
+        follower->confirm();
+}
+
+void FollowerGroup::noteTrouble(Instant now)
+{
+    m_troubledAt = now;
+}
+
+bool FollowerGroup::isTroubled(Instant now) const
+{
+    return m_troubledAt && now - *m_troubledAt < TableFollower::troubled;
+}
+
+bool FollowerGroup::isServing(Instant now) const
+{
+    return std::ranges::all_of(m_followers, [now](const TableFollower *follower) {
+        return !follower->isCutOff() && follower->isFresh(now);
+    });
 }
 
 } // namespace bulrush
--- a/src/libbulrushentry/followergroup.h
+++ b/src/libbulrushentry/followergroup.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "process/clock.h"
+
+#include <optional>
 #include <vector>
 
 namespace bulrush {
@@ -21,11 +24,21 @@
     /** Has all but \a witness, whose call got no answer, ask the store anew. */
     void storeSilent(const TableFollower &witness);
 
-    /** \returns whether the store failed the last call of one of them. */
-    bool isAnyCutOff() const;
+    /** Has all ask the store whether what they know still holds. */
+    void confirmAll();
+
+    /** Notes that a call to the store failed, or got no answer. */
+    void noteTrouble(Instant now);
+
+    /** \returns whether a call to the store failed lately. */
+    bool isTroubled(Instant now) const;
+
+    /** \returns whether the store failed none of them, and what they know is fresh. */
+    bool isServing(Instant now) const;
 
 private:
     std::vector<TableFollower *> m_followers;
+    std::optional<Instant> m_troubledAt;
 };
 
 } // namespace bulrush
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -22,7 +22,7 @@
     , servers(ownLoop)
     , timers(ownLoop)
     , counters(ownCounters)
-    , picker(gauges, settings.domain)
+    , picker(gauges, settings.domain, DrainBudget{settings.serverDrain})
     , queue(picker)
     , retries(settings.retries)
 { }
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -37,8 +37,6 @@
 /** Refused callers come back after this time at the least, and spread over as much again. */
 constexpr double leastRetryAfter = 0.25;
 constexpr double retryAfterSpread = 0.5;
-/** What is known of the backend servers counts as old from then on: half of the drain bound. */
-constexpr Duration oldKnowledge = std::chrono::milliseconds{1000};
 /** Backend servers get this much less time than is left, so that their answers still come in. */
 constexpr Duration answerTravel = std::chrono::milliseconds{4};
 
@@ -187,22 +185,26 @@
         platform::forwardedFields(m_request->head().headers, server.id, left() - answerTravel);
     call.body = m_body;
     call.timeout = left() + std::chrono::seconds{1};
-    call.sendBy = m_answerBy - RequestQueue::leastServiceTime;
+    call.sendBy = std::min(m_answerBy - RequestQueue::leastServiceTime, noteChoice());
     call.echoedField = platform::requestIdField;
-    noteChoice();
     m_call = m_context.servers.send(
         std::move(call),
         [self = shared_from_this()](const io::HttpResult &result) { self->attemptEnded(result); });
 }
 
-/** Notes by what the server was chosen. */
-void ForwardExchange::noteChoice()
+/** Notes by what the server was chosen. \returns until when the request may be sent to it. */
+Instant ForwardExchange::noteChoice()
 {
     const Duration age = m_context.picker.knowledgeAge(m_sentAt);
     m_context.counters.recordKnowledgeAge(age);
+    m_isChoiceLogged = age >= m_context.picker.budget().confirmAfter();
+    m_drainsAfter.reset();
     const KnownServer *server = m_context.state->server(m_service, m_server);
-    m_drainsAfter = server ? server->drainsAfter : std::nullopt;
-    m_isChoiceLogged = age >= oldKnowledge || m_drainsAfter;
+    if (!server)
+        return Instant::max();
+    m_drainsAfter = server->drainsAfter;
+    m_isChoiceLogged = m_isChoiceLogged || m_drainsAfter;
+    return m_context.picker.lastSend(*server);
 }
 
 /** Tells when a request to a server that may have left took each step on its way. */
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -44,7 +44,7 @@
     bool admitKey();
     void readBody();
     void enqueue(Instant notBefore);
-    void noteChoice();
+    Instant noteChoice();
     void logSteps(const io::CallTimes &times);
     void attemptEnded(const io::HttpResult &result);
     void answered(const io::HttpResult &result);
--- a/src/libbulrushentry/rowsfeed.cpp
+++ b/src/libbulrushentry/rowsfeed.cpp
@@ -50,7 +50,7 @@
 {
     follower.setPublishedHandler([this] { look(io::hostNow()); });
     const Instant now = io::hostNow();
-    m_held.push_back({question, &follower, writer, now});
+    m_held.push_back({question, &follower, writer, now, follower.knownAt()});
     look(now);
 }
 
@@ -72,7 +72,9 @@
         held.writer->send(io::refusal(serviceUnavailable));
         return true;
     }
-    const bool hasNews = held.follower->version() > held.question.version;
+    // That nothing has changed since is news as well: who follows goes by when it was so.
+    const bool hasNews =
+        held.follower->version() > held.question.version || held.follower->knownAt() > held.knownAt;
     if (!hasNews && now - held.askedAt < held.question.wait)
         return false;
     const RelayedRows rows = held.follower->rowsSince(held.question.version, held.askedAt);
--- a/src/libbulrushentry/rowsfeed.h
+++ b/src/libbulrushentry/rowsfeed.h
@@ -57,6 +57,8 @@
         const TableFollower *follower;
         std::shared_ptr<io::ResponseWriter> writer;
         Instant askedAt;
+        /** When the store had told last that there are no other rows, as the question came. */
+        Instant knownAt;
     };
 
     /**
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -18,17 +18,20 @@
  */
 constexpr FollowPace configPace{std::chrono::seconds{10}, {}};
 
-/** Servers that start write often; two seconds are there to follow one that leaves. */
-constexpr FollowPace serverPace{std::chrono::seconds{10}, std::chrono::milliseconds{300}};
+FollowPace serverPace(const DrainBudget &budget)
+{
+    return {budget.readerWait(), budget.readerPause(),
+            Confirmation{budget.confirmAfter(), budget.confirmWithin()}};
+}
 
 } // namespace
 
-StatePublisher::StatePublisher(const FollowParts &parts, PublishHandler publish,
-                               KnowledgeHandler tellKnowledge)
+StatePublisher::StatePublisher(const FollowParts &parts, const DrainBudget &budget,
+                               PublishHandler publish, KnowledgeHandler tellKnowledge)
     : m_publish(std::move(publish))
     , m_tellKnowledge(std::move(tellKnowledge))
     , m_configs(parts, std::string{platform::operatorTable}, configPace)
-    , m_servers(parts, std::string{platform::serverTable}, serverPace)
+    , m_servers(parts, std::string{platform::serverTable}, serverPace(budget))
 { }
 
 TableFollower *StatePublisher::follower(std::string_view table)
@@ -149,7 +152,7 @@
 
 void StatePublisher::tellKnowledge()
 {
-    const ServerKnowledge knowledge{m_servers.knownAt(), m_servers.isCutOff()};
+    const ServerKnowledge knowledge{m_servers.knownAt(), m_servers.isStoreAway()};
     if (knowledge == m_knowledge)
         return;
     if (knowledge.isStoreAway != m_knowledge.isStoreAway)
--- a/src/libbulrushentry/statepublisher.h
+++ b/src/libbulrushentry/statepublisher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/drainbudget.h"
 #include "process/routingstate.h"
 #include "process/serverdirectory.h"
 #include "process/serverknowledge.h"
@@ -24,7 +25,7 @@
     /** Told how far the servers that were published last can be relied on. */
     using KnowledgeHandler = std::function<void(const ServerKnowledge &)>;
 
-    StatePublisher(const FollowParts &parts, PublishHandler publish,
+    StatePublisher(const FollowParts &parts, const DrainBudget &budget, PublishHandler publish,
                    KnowledgeHandler tellKnowledge);
 
     /** Starts to follow configurations and servers. */
--- a/src/libbulrushentry/tablefollower.cpp
+++ b/src/libbulrushentry/tablefollower.cpp
@@ -26,13 +26,17 @@
 {
     m_changed = std::move(changed);
     m_answered = std::move(answered);
+    if (m_pace.confirmation)
+        m_parts.timers.every(lookEvery, [this](Instant now) { look(now); });
     read();
 }
 
 void TableFollower::read()
 {
     const Instant sentAt = io::hostNow();
+    m_isReading = true;
     m_parts.store.read(m_table, [this, sentAt](platform::RowsOutcome outcome) {
+        m_isReading = false;
         taken(std::move(outcome), true, sentAt);
     });
 }
@@ -63,7 +67,8 @@
         return;
     }
     m_parts.readers.served(reader.host);
-    const Instant unchangedUntil = std::exchange(m_knownAt, std::max(m_knownAt, asOf));
+    const Instant unchangedUntil = m_knownAt;
+    noteKnown(asOf);
     // A reader that knows less than this daemon did when it asked has no rows for it.
     if (rows->version > m_version) {
         const platform::RowsOutcome outcome{{}, std::move(rows->rows), rows->version};
@@ -76,6 +81,14 @@
     follow();
 }
 
+void TableFollower::noteKnown(Instant asOf)
+{
+    if (asOf <= m_knownAt)
+        return;
+    m_knownAt = asOf;
+    m_isUnconfirmed = false;
+}
+
 void TableFollower::noteSource(const std::string &source)
 {
     if (std::exchange(m_source, source) == source)
@@ -88,13 +101,18 @@
 {
     noteSource(std::string{storeSource});
     const Instant sentAt = io::hostNow();
-    m_wait = m_parts.store.follow(m_table, m_version, m_pace.wait,
+    m_wait = m_parts.store.follow(m_table, m_version, storeWait(sentAt),
                                   [this, sentAt](platform::RowsOutcome outcome) {
                                       m_wait.reset();
                                       taken(std::move(outcome), false, sentAt);
                                   });
 }
 
+Duration TableFollower::storeWait(Instant now) const
+{
+    return m_parts.group.isTroubled(now) ? std::min(m_pace.wait, troubledWait) : m_pace.wait;
+}
+
 void TableFollower::taken(platform::RowsOutcome outcome, bool isWhole, Instant sentAt)
 {
     if (outcome.error == platform::StoreError::HistoryGone) {
@@ -106,28 +124,94 @@
         failed(outcome.error);
         return;
     }
-    const Instant now = io::hostNow();
     const bool wasFailing = std::exchange(m_isFailing, false);
     if (wasFailing)
         io::logEvent(LogLevel::Info, "store-regained", {{"table", m_table}});
     m_retry = firstRetry;
+    m_answered(adopt(std::move(outcome), isWhole, wasFailing, sentAt));
+    published();
+    if (m_pace.pause > Duration::zero() && !isWhole)
+        m_parts.timers.after(m_pace.pause, [this](Instant) { follow(); });
+    else
+        follow();
+}
+
+/** Takes in an answer of the store. \returns an instant at which it held just these rows. */
+Instant TableFollower::adopt(platform::RowsOutcome outcome, bool isWhole, bool wasFailing,
+                             Instant sentAt)
+{
+    const Instant now = io::hostNow();
     const Instant givenAt =
         outcome.storeTime ? m_parts.clock.givenAt(sentAt, now, *outcome.storeTime) : sentAt;
     if (outcome.skipped > 0)
         io::logEvent(LogLevel::Error, "rows-unreadable",
                      {{"table", m_table}, {"count", std::to_string(outcome.skipped)}});
+    // What a confirmation has brought already must not be undone by a call that was sent before.
+    if (!isWhole && outcome.version <= m_version)
+        outcome.rows.clear();
+    const Instant unchangedUntil = m_knownAt;
     m_version = std::max(m_version, outcome.version);
-    const Instant unchangedUntil = std::exchange(m_knownAt, std::max(m_knownAt, givenAt));
+    noteKnown(givenAt);
     remember(outcome, isWhole);
     if (isWhole || !outcome.rows.empty())
         m_changed({std::move(outcome.rows), m_version, isWhole,
                    wasFailing && now - m_failingSince > outage, unchangedUntil});
-    m_answered(givenAt);
-    published();
-    if (m_pace.pause > Duration::zero() && !isWhole)
-        m_parts.timers.after(m_pace.pause, [this](Instant) { follow(); });
-    else
-        follow();
+    return givenAt;
+}
+
+/** Sees to it that the rows are confirmed, and that it shows when they can't be. */
+void TableFollower::look(Instant now)
+{
+    if (!m_hasRows || m_isFailing)
+        return;
+    if (m_confirmingSince) {
+        const bool isLate = now - *m_confirmingSince >= m_pace.confirmation->within;
+        if (isLate && now - m_knownAt >= m_pace.confirmation->after
+            && !std::exchange(m_isUnconfirmed, true))
+            published();
+        return;
+    }
+    if (now - m_knownAt < m_pace.confirmation->after || now < m_confirmAgainAt)
+        return;
+    io::logEvent(LogLevel::Warning, "rows-old",
+                 {{"table", m_table},
+                  {"source", m_source},
+                  {"age-ms", io::millisecondsText(now - m_knownAt)}});
+    m_parts.group.confirmAll();
+}
+
+void TableFollower::confirm()
+{
+    if (m_confirmingSince || !m_hasRows || m_isFailing || m_isReading)
+        return;
+    const Instant sentAt = io::hostNow();
+    m_confirmingSince = sentAt;
+    m_waitDoubted = m_wait;
+    m_parts.store.follow(m_table, m_version, Duration::zero(),
+                         [this, sentAt](platform::RowsOutcome outcome) {
+                             m_confirmingSince.reset();
+                             confirmed(std::move(outcome), sentAt);
+                         });
+}
+
+void TableFollower::confirmed(platform::RowsOutcome outcome, Instant sentAt)
+{
+    // A table that is waited for longer has not missed its time; its wait may stand.
+    const bool isWaitLost = m_wait && m_wait == m_waitDoubted
+        && (m_pace.confirmation || outcome.error == platform::StoreError::HistoryGone);
+    const bool isRefused = static_cast<bool>(outcome.error);
+    if (!isRefused && !m_isFailing && !m_isReading) {
+        m_answered(adopt(std::move(outcome), false, false, sentAt));
+        published();
+    }
+    if (isRefused) {
+        const Instant now = io::hostNow();
+        m_parts.group.noteTrouble(now);
+        m_confirmAgainAt = now + longestRetry;
+        m_isUnconfirmed = true;
+    }
+    if (isWaitLost)
+        askAnew();
 }
 
 void TableFollower::askAnew()
@@ -142,6 +226,7 @@
 void TableFollower::failed(std::error_code error)
 {
     const bool isFirst = !m_isFailing;
+    m_parts.group.noteTrouble(io::hostNow());
     if (!std::exchange(m_isFailing, true)) {
         m_failingSince = io::hostNow();
         io::logEvent(LogLevel::Warning, "store-lost",
@@ -192,8 +277,9 @@
     if (!m_isFailing || rows.version < m_version || asOf < m_knownAt)
         return;
     const bool hasChanged = rows.version > m_version || !m_hasRows;
+    const Instant unchangedUntil = m_knownAt;
     m_version = rows.version;
-    const Instant unchangedUntil = std::exchange(m_knownAt, asOf);
+    noteKnown(asOf);
     if (hasChanged) {
         const platform::RowsOutcome outcome{{}, std::move(rows.rows), rows.version};
         remember(outcome, true);
@@ -204,8 +290,12 @@
 
 bool TableFollower::isServing(Instant now) const
 {
-    return m_hasRows && !m_parts.group.isAnyCutOff() && m_source == storeSource
-        && now - m_parts.clock.newestGiven() < longestSilence;
+    return m_hasRows && m_source == storeSource && m_parts.group.isServing(now);
+}
+
+bool TableFollower::isFresh(Instant now) const
+{
+    return !m_pace.confirmation || now - m_knownAt < m_pace.confirmation->after;
 }
 
 void TableFollower::published()
--- a/src/libbulrushentry/tablefollower.h
+++ b/src/libbulrushentry/tablefollower.h
@@ -28,6 +28,15 @@
     Instant unchangedUntil;
 };
 
+/** How soon a table's rows are confirmed elsewhere when whoever should tell of them is silent. */
+struct Confirmation
+{
+    /** After this without an answer the store is asked, beside any call that waits. */
+    Duration after;
+    /** For its answer; without one the store counts as away. */
+    Duration within;
+};
+
 /** How a table is followed: a matter of how soon changes are known and what the calls cost. */
 struct FollowPace
 {
@@ -35,6 +44,8 @@
     Duration wait = std::chrono::seconds{10};
     /** Between a change and the next call, so that one call brings several changes. */
     Duration pause{};
+    /** Of tables whose age binds; the others of the daemon are asked for along with them. */
+    std::optional<Confirmation> confirmation = std::nullopt;
 };
 
 /** What all followers of a daemon share. */
@@ -78,10 +89,13 @@
     TableFollower &operator=(const TableFollower &) = delete;
 
     /**
-     * How long ago the store's last answer may be for this daemon to serve others: answers are some
-     * 1.2 s apart at most while all is well, and others have to hear of changes within two seconds.
+     * After a call that failed, waits for changes are this short for a while: an answer that is
+     * lost then shows that soon, where it is the only one that tells of a change.
      */
-    static constexpr Duration longestSilence = std::chrono::milliseconds{1500};
+    static constexpr Duration troubledWait = std::chrono::milliseconds{1000};
+    static constexpr Duration troubled = std::chrono::seconds{10};
+    /** How often the age of rows that have to be confirmed is looked at. */
+    static constexpr Duration lookEvery = std::chrono::milliseconds{50};
     /** Removed rows that are remembered, so that others can follow by changes. */
     static constexpr std::size_t mostRemoved = 1000;
 
@@ -97,12 +111,21 @@
     /** Gives up a wait for changes at the store, which may be lost, and reads all rows. */
     void askAnew();
 
+    /** Asks the store whether the rows are as they are known, beside any call that waits. */
+    void confirm();
+
     /** \returns whether the last call failed. */
     bool isCutOff() const;
 
+    /** \returns whether nothing newer than what is known is to be had from the store now. */
+    bool isStoreAway() const;
+
     /** \returns when the store, asked here or by another daemon, told last that rows are so. */
     Instant knownAt() const;
 
+    /** \returns whether the rows are known well enough to be told to others. */
+    bool isFresh(Instant now) const;
+
     /** \returns whom changes come from: "store", or a host. */
     const std::string &source() const;
 
@@ -136,6 +159,11 @@
     void published();
     void taken(platform::RowsOutcome outcome, bool isWhole, Instant sentAt);
     void failed(std::error_code error);
+    void look(Instant now);
+    void confirmed(platform::RowsOutcome outcome, Instant sentAt);
+    Instant adopt(platform::RowsOutcome outcome, bool isWhole, bool wasFailing, Instant sentAt);
+    void noteKnown(Instant asOf);
+    Duration storeWait(Instant now) const;
 
     FollowParts m_parts;
     std::string m_table;
@@ -158,6 +186,15 @@
     Duration m_retry = firstRetry;
     Instant m_failingSince;
     bool m_isFailing = false;
+    /** When the confirmation that there is no answer to yet was asked for. */
+    std::optional<Instant> m_confirmingSince;
+    /** The wait that stood when it was asked for. */
+    std::optional<platform::StoreClient::CallId> m_waitDoubted;
+    /** One that was refused is not asked for anew before. */
+    Instant m_confirmAgainAt;
+    /** A confirmation got no answer in time, or was refused, and nothing was heard since. */
+    bool m_isUnconfirmed = false;
+    bool m_isReading = false;
 };
 
 inline const std::string &TableFollower::table() const
@@ -185,6 +222,11 @@
     return m_isFailing;
 }
 
+inline bool TableFollower::isStoreAway() const
+{
+    return m_isFailing || m_isUnconfirmed;
+}
+
 inline Instant TableFollower::knownAt() const
 {
     return m_knownAt;
--- a/src/libbulrushio/process/entrysettingsreader.cpp
+++ b/src/libbulrushio/process/entrysettingsreader.cpp
@@ -4,6 +4,8 @@
 #include "process/yamlfields.h"
 #include "process/yamlfile.h"
 
+#include <algorithm>
+
 namespace bulrush::io {
 
 namespace {
@@ -35,6 +37,27 @@
     terms->finish();
 }
 
+/** Reads a span in seconds with fractions, as the platform writes its bounds. */
+void readSeconds(YamlFields &fields, std::string_view name, Duration &span)
+{
+    constexpr double least = 0.5;
+    constexpr double most = 3600.0;
+    std::chrono::duration<double> seconds = span;
+    double value = seconds.count();
+    fields.read(name, decimal(least, most), value, Presence::Optional);
+    span = std::chrono::duration_cast<Duration>(std::chrono::duration<double>{value});
+}
+
+/** Ends a shutdown by itself before the platform kills the process. */
+void readShutdown(YamlFields &fields, EntrySettings &settings)
+{
+    constexpr Duration reserve = 500ms;
+    Duration grace = settings.drainTime + reserve;
+    readSeconds(fields, "shutdownGraceSeconds", grace);
+    settings.drainTime = std::max(grace - reserve, grace / 2);
+    fields.read("drainTime", duration(1s, 1h), settings.drainTime, Presence::Optional);
+}
+
 } // namespace
 
 bool hasStore(std::string_view path)
@@ -59,7 +82,8 @@
     fields.read("domain", identifier<DomainName>(), settings.domain, Presence::Required);
     fields.read("store", endpoint(PortZero::Refused), settings.store, Presence::Required);
     readAddresses(fields, settings);
-    fields.read("drainTime", duration(1s, 1h), settings.drainTime, Presence::Optional);
+    readShutdown(fields, settings);
+    readSeconds(fields, "serverDrainSeconds", settings.serverDrain);
     readCallerLimits(fields, settings.limits);
     readRetries(fields, settings.retries);
     constexpr double mostProcessors = 1024.0;
--- a/tests/entrysettings/test_entrysettings.cpp
+++ b/tests/entrysettings/test_entrysettings.cpp
@@ -76,6 +76,12 @@
         {"{{limits.cpuShare}}", "0.1"},
         {"{{#limits.cpuShare}}\n", ""},
         {"{{/limits.cpuShare}}\n", ""},
+        {"{{bounds.drainS}}", "2.5"},
+        {"{{#bounds.drainS}}\n", ""},
+        {"{{/bounds.drainS}}\n", ""},
+        {"{{bounds.graceS}}", "10"},
+        {"{{#bounds.graceS}}\n", ""},
+        {"{{/bounds.graceS}}\n", ""},
         {"{{bounds.budgetSlack}}", "64"},
         {"{{bounds.retryBudgetRatio}}", "0.25"},
         {"{{#bounds.budgetSlack}}\n", ""},
@@ -116,6 +122,25 @@
     BOOST_TEST(reading.settings.operators.port == 8388);
     BOOST_TEST((reading.settings.retries == RetryTerms{0.25, 64.0}));
     BOOST_TEST(reading.settings.processors == 0.1);
+    BOOST_TEST((reading.settings.serverDrain == 2500ms));
+    BOOST_TEST((reading.settings.drainTime == 9500ms));
+}
+
+BOOST_AUTO_TEST_CASE(boundsAreSecondsWithFractions)
+{
+    const SettingsFile usual{usable};
+    const EntrySettings settings = io::readEntrySettings(usual.path()).settings;
+    BOOST_TEST((settings.serverDrain == 2s));
+    BOOST_TEST((settings.drainTime == 5500ms));
+    for (const std::string field : {"serverDrainSeconds", "shutdownGraceSeconds"}) {
+        for (const std::string wrong : {"2s", "0", "-1", "soon", ""}) {
+            const std::string problem = problemsOf(usable + field + ": " + wrong + "\n");
+            BOOST_TEST(problem.find(field) != std::string::npos, wrong << ": " << problem);
+        }
+    }
+    // A drain time of its own goes first.
+    const SettingsFile both{usable + "shutdownGraceSeconds: 20\ndrainTime: 4s\n"};
+    BOOST_TEST((io::readEntrySettings(both.path()).settings.drainTime == 4s));
 }
 
 BOOST_AUTO_TEST_CASE(processorsAreANumberOfCores)
--- a/tests/requestqueue/test_requestqueue.cpp
+++ b/tests/requestqueue/test_requestqueue.cpp
@@ -116,16 +116,40 @@
 BOOST_FIXTURE_TEST_CASE(aServerThatDrainsOrIsGoneGetsNothing, Fixture)
 {
     state.servers[plain][0].record.isDraining = true;
-    state.servers[plain][0].drainingSince = start;
+    state.servers[plain][0].drainsAfter = start;
     queue.add(request(plain, start));
     BOOST_TEST(dispatch(start).at(1) == "p2");
-    state.servers[keyed][0].drainingSince = start;
+    state.servers[keyed][0].drainsAfter = start;
     state.servers[keyed][0].record.isDraining = true;
     queue.add(keyedRequest(5, start));
-    BOOST_TEST(dispatch(start + 500ms).at(2) == "c1"); // until its keys have moved
-    queue.add(keyedRequest(5, start + 500ms));
-    // Hearing of it 0.8 s late, and a link 0.6 s behind, are within two seconds with that.
-    BOOST_TEST(dispatch(start + 601ms).empty());
+    BOOST_TEST(dispatch(start + 900ms).at(2) == "c1"); // until its keys have moved
+    queue.add(keyedRequest(5, start + 900ms));
+    // However late it was heard of: the second half of two seconds is for connection and link.
+    BOOST_TEST(dispatch(start + 1001ms).empty());
+    BOOST_TEST((picker.lastSend(state.servers[keyed][0]) == start + 1500ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(noServerIsUsedByWhatIsTooOldWhileNewerWordIsToBeHad, Fixture)
+{
+    picker.setKnowledge({start, false});
+    queue.add(request(plain, start));
+    BOOST_TEST(dispatch(start + 1400ms).at(1) == "p1");
+    BOOST_TEST((picker.lastSend(state.servers[plain][0]) == start + 1500ms));
+    queue.add(request(plain, start + 1400ms));
+    queue.add(keyedRequest(5, start + 1400ms));
+    std::map<std::uint64_t, GiveUpReason> gone;
+    BOOST_TEST(dispatch(start + 1401ms, &gone).empty());
+    BOOST_TEST(gone.empty());
+    // News, or the word that there is none to be had: callers are served by what is known.
+    picker.setKnowledge({start + 1300ms, false});
+    BOOST_TEST(dispatch(start + 1410ms).size() == 2U);
+    queue.add(request(plain, start + 5s));
+    picker.setKnowledge({start + 1300ms, true});
+    BOOST_TEST(dispatch(start + 5s).size() == 1U);
+    // A server that is known to drain is left alone all the same.
+    state.servers[keyed][1].drainsAfter = start + 1300ms;
+    queue.add(keyedRequest(5000, start + 5s));
+    BOOST_TEST(dispatch(start + 5s).empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(aRequestIsNotSentToAServerThatItWasSentTo, Fixture)
--- a/tests/routing/test_serverdirectory.cpp
+++ b/tests/routing/test_serverdirectory.cpp
@@ -34,7 +34,6 @@
     directory.take(record("one", true), start + 1s, start + 900ms);
     directory.take(record("one", true), start + 2s, start + 2s);
     BOOST_TEST(!isReady(directory, "one"));
-    BOOST_TEST((directory.find(ServerName{"one"})->drainingSince == start + 1s));
     BOOST_TEST((directory.find(ServerName{"one"})->drainsAfter == start + 900ms));
 }
 
