--- a/src/libbulrush/process/readerchoice.cpp
+++ b/src/libbulrush/process/readerchoice.cpp
@@ -15,8 +15,7 @@
     m_candidates.clear();
     for (const Renewer &daemon : daemons) {
         if (!daemon.goneSince && daemon.row.domain == m_domain)
-            m_candidates.push_back(
-                {daemon.host, daemon.row.address, daemon.row.domain, daemon.version});
+            m_candidates.push_back({daemon.host, daemon.row.address, daemon.version});
     }
     std::ranges::sort(m_candidates, {}, &RowsReader::version);
 }
--- a/src/libbulrush/process/readerchoice.h
+++ b/src/libbulrush/process/readerchoice.h
@@ -17,7 +17,6 @@
 {
     HostName host;
     Endpoint address;
-    DomainName domain;
     /** Of its row; the daemon that registered first has the lowest. */
     std::uint64_t version = 0;
 };
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -1,5 +1,6 @@
 #include "entrydaemon.h"
 
+#include "connection/httpstatus.h"
 #include "peerpaths.h"
 #include "process/hostclock.h"
 #include "process/logging.h"
@@ -46,11 +47,6 @@
     return plannerPatience(XXH3_64bits(name.data(), name.size()), settings.processors);
 }
 
-io::HttpResponse textPage(int status, std::string body)
-{
-    return {status, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(body)};
-}
-
 } // namespace
 
 EntryDaemon::EntryDaemon(EntrySettings settings)
@@ -70,7 +66,7 @@
     , m_keys({followParts(), m_client, m_state},
              {m_settings.host, newIncarnation(m_settings.host), m_settings.domain, m_settings.peers,
               patienceOf(m_settings)})
-    , m_peers(m_keys, m_state, m_timers)
+    , m_peers(m_keys, m_state, m_timers, m_followers)
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
 { }
 
@@ -233,14 +229,14 @@
 {
     const std::string &target = request.head().target;
     if (target == "/readyz")
-        writer.send(
-            textPage(isReady() ? ok : serviceUnavailable, isReady() ? "ready\n" : "not ready\n"));
+        writer.send(io::textPage(isReady() ? ok : serviceUnavailable,
+                                 isReady() ? "ready\n" : "not ready\n"));
     else if (target == "/metrics")
-        writer.send(textPage(ok, metricsText()));
+        writer.send(io::textPage(ok, metricsText()));
     else if (target == "/status")
-        writer.send(textPage(ok, statusText()));
+        writer.send(io::textPage(ok, statusText()));
     else
-        writer.send(textPage(notFound, "pages: /readyz, /metrics, /status\n"));
+        writer.send(io::textPage(notFound, "pages: /readyz, /metrics, /status\n"));
 }
 
 std::string EntryDaemon::metricsText() const
--- a/src/libbulrushentry/followergroup.cpp
+++ b/src/libbulrushentry/followergroup.cpp
@@ -3,6 +3,7 @@
 #include "tablefollower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrush {
 
@@ -11,6 +12,17 @@
     m_followers.push_back(&follower);
 }
 
+void FollowerGroup::setPublishedHandler(PublishedHandler handler)
+{
+    m_published = std::move(handler);
+}
+
+void FollowerGroup::published() const
+{
+    if (m_published)
+        m_published();
+}
+
 void FollowerGroup::storeSilent(const TableFollower &witness)
 {
     for (TableFollower *follower : m_followers) {
--- a/src/libbulrushentry/followergroup.h
+++ b/src/libbulrushentry/followergroup.h
@@ -2,6 +2,7 @@
 
 #include "process/clock.h"
 
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -18,9 +19,18 @@
 class FollowerGroup
 {
 public:
+    /** Told whenever rows may have changed, or are known anew, or are no longer served. */
+    using PublishedHandler = std::function<void()>;
+
+    /** Sets who is told. */
+    void setPublishedHandler(PublishedHandler handler);
+
     /** Adds \a follower, which outlives all calls of this object. */
     void add(TableFollower &follower);
 
+    /** Tells that one of them may serve other rows than before. */
+    void published() const;
+
     /** Has all but \a witness, whose call got no answer, ask the store anew. */
     void storeSilent(const TableFollower &witness);
 
@@ -38,6 +48,7 @@
 
 private:
     std::vector<TableFollower *> m_followers;
+    PublishedHandler m_published;
     std::optional<Instant> m_troubledAt;
 };
 
--- a/src/libbulrushentry/peerdesk.cpp
+++ b/src/libbulrushentry/peerdesk.cpp
@@ -1,5 +1,6 @@
 #include "peerdesk.h"
 
+#include "connection/httpstatus.h"
 #include "connection/wholebody.h"
 #include "peerpaths.h"
 #include "process/hostclock.h"
@@ -14,11 +15,6 @@
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
 
-io::HttpResponse textPage(int status, std::string body)
-{
-    return {status, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(body)};
-}
-
 io::HttpResponse jsonPage(std::string body)
 {
     return {ok, {{"Content-Type", "application/json"}}, std::move(body)};
@@ -26,10 +22,11 @@
 
 } // namespace
 
-PeerDesk::PeerDesk(KeyControl &keys, StatePublisher &state, io::LoopTimers &timers)
+PeerDesk::PeerDesk(KeyControl &keys, StatePublisher &state, io::LoopTimers &timers,
+                   FollowerGroup &group)
     : m_keys(keys)
     , m_state(state)
-    , m_feed(timers)
+    , m_feed(timers, group)
 { }
 
 std::error_code PeerDesk::listen(asio::io_context &loop, const Endpoint &address)
@@ -49,7 +46,7 @@
                       [this, request, writer](std::error_code error, const std::string &body) {
                           const std::string &target = request->head().target;
                           if (error)
-                              writer->send(textPage(badRequest, "body: not whole\n"));
+                              writer->send(io::textPage(badRequest, "body: not whole\n"));
                           else if (target.starts_with(feedPath))
                               takeFeedQuestion(target, writer);
                           else
@@ -68,7 +65,7 @@
         if (asked && asked->hasRows())
             return jsonPage(encodeRows(asked->allRows(io::hostNow())));
     }
-    return textPage(notFound, "nothing is known here by that path\n");
+    return io::textPage(notFound, "nothing is known here by that path\n");
 }
 
 void PeerDesk::takeFeedQuestion(const std::string &target,
@@ -79,7 +76,7 @@
     if (asked)
         m_feed.ask(*question, *asked, writer);
     else
-        writer->send(textPage(notFound, "path: not a followed table, a version and a wait\n"));
+        writer->send(io::textPage(notFound, "path: not a followed table, a version and a wait\n"));
 }
 
 TableFollower *PeerDesk::follower(std::string_view table)
@@ -92,7 +89,7 @@
 {
     const auto samples = io::decodeLoadSamples(body);
     if (!samples)
-        return textPage(badRequest, "body: not a list of samples\n");
+        return io::textPage(badRequest, "body: not a list of samples\n");
     m_keys.addLoads(*samples);
     return jsonPage(io::encodeKeyShares(m_keys.keyShares()));
 }
@@ -101,7 +98,7 @@
 {
     const auto question = io::decodeQuestion(body);
     if (!question)
-        return textPage(badRequest, "body: not a question for grants\n");
+        return io::textPage(badRequest, "body: not a question for grants\n");
     return jsonPage(io::encodeAnswer(m_keys.answerOn(*question)));
 }
 
--- a/src/libbulrushentry/peerdesk.h
+++ b/src/libbulrushentry/peerdesk.h
@@ -22,7 +22,7 @@
 {
 public:
     /** \pre all outlive this object */
-    PeerDesk(KeyControl &keys, StatePublisher &state, io::LoopTimers &timers);
+    PeerDesk(KeyControl &keys, StatePublisher &state, io::LoopTimers &timers, FollowerGroup &group);
 
     /** Listens at \a address. \returns TransportError::ListenFailed if it can't be used. */
     std::error_code listen(asio::io_context &loop, const Endpoint &address);
--- a/src/libbulrushentry/rowsfeed.cpp
+++ b/src/libbulrushentry/rowsfeed.cpp
@@ -40,15 +40,15 @@
                         std::chrono::milliseconds{std::min(*wait, longest)}};
 }
 
-RowsFeed::RowsFeed(io::LoopTimers &timers)
+RowsFeed::RowsFeed(io::LoopTimers &timers, FollowerGroup &group)
 {
+    group.setPublishedHandler([this] { look(io::hostNow()); });
     timers.every(lookEvery, [this](Instant now) { look(now); });
 }
 
 void RowsFeed::ask(const FeedQuestion &question, TableFollower &follower,
                    const std::shared_ptr<io::ResponseWriter> &writer)
 {
-    follower.setPublishedHandler([this] { look(io::hostNow()); });
     const Instant now = io::hostNow();
     m_held.push_back({question, &follower, writer, now, follower.knownAt()});
     look(now);
--- a/src/libbulrushentry/rowsfeed.h
+++ b/src/libbulrushentry/rowsfeed.h
@@ -40,8 +40,8 @@
     /** How often held questions are looked at. */
     static constexpr Duration lookEvery = std::chrono::milliseconds{50};
 
-    /** \pre \a timers outlives this object */
-    explicit RowsFeed(io::LoopTimers &timers);
+    /** \pre \a timers and \a group, whose rows are served, outlive this object */
+    RowsFeed(io::LoopTimers &timers, FollowerGroup &group);
 
     RowsFeed(const RowsFeed &) = delete;
     RowsFeed &operator=(const RowsFeed &) = delete;
--- a/src/libbulrushentry/tablefollower.cpp
+++ b/src/libbulrushentry/tablefollower.cpp
@@ -94,7 +94,7 @@
     if (std::exchange(m_source, source) == source)
         return;
     io::logEvent(LogLevel::Info, "rows-source", {{"table", m_table}, {"source", source}});
-    published();
+    m_parts.group.published();
 }
 
 void TableFollower::followStore()
@@ -129,7 +129,7 @@
         io::logEvent(LogLevel::Info, "store-regained", {{"table", m_table}});
     m_retry = firstRetry;
     m_answered(adopt(std::move(outcome), isWhole, wasFailing, sentAt));
-    published();
+    m_parts.group.published();
     if (m_pace.pause > Duration::zero() && !isWhole)
         m_parts.timers.after(m_pace.pause, [this](Instant) { follow(); });
     else
@@ -168,7 +168,7 @@
         const bool isLate = now - *m_confirmingSince >= m_pace.confirmation->within;
         if (isLate && now - m_knownAt >= m_pace.confirmation->after
             && !std::exchange(m_isUnconfirmed, true))
-            published();
+            m_parts.group.published();
         return;
     }
     if (now - m_knownAt < m_pace.confirmation->after || now < m_confirmAgainAt)
@@ -202,7 +202,7 @@
     const bool isRefused = static_cast<bool>(outcome.error);
     if (!isRefused && !m_isFailing && !m_isReading) {
         m_answered(adopt(std::move(outcome), false, false, sentAt));
-        published();
+        m_parts.group.published();
     }
     if (isRefused) {
         const Instant now = io::hostNow();
@@ -231,7 +231,7 @@
         m_failingSince = io::hostNow();
         io::logEvent(LogLevel::Warning, "store-lost",
                      {{"table", m_table}, {"error", error.message()}});
-        published();
+        m_parts.group.published();
         askPeers();
     }
     if (isFirst && error == platform::StoreError::Unknown)
@@ -298,12 +298,6 @@
     return !m_pace.confirmation || now - m_knownAt < m_pace.confirmation->after;
 }
 
-void TableFollower::published()
-{
-    if (m_published)
-        m_published();
-}
-
 RelayedRows TableFollower::allRows(Instant askedAt) const
 {
     RelayedRows relayed{{}, m_version, askedAt - m_knownAt, true};
--- a/src/libbulrushentry/tablefollower.h
+++ b/src/libbulrushentry/tablefollower.h
@@ -99,12 +99,6 @@
     /** Removed rows that are remembered, so that others can follow by changes. */
     static constexpr std::size_t mostRemoved = 1000;
 
-    /** Told whenever rows may have changed, or are no longer served to others. */
-    using PublishedHandler = std::function<void()>;
-
-    /** Sets who is told. */
-    void setPublishedHandler(PublishedHandler handler);
-
     /** Starts to follow. Called once. */
     void start(ChangeHandler changed, AnswerHandler answered);
 
@@ -156,7 +150,6 @@
     void followReader(const RowsReader &reader);
     void takenFromReader(const RowsReader &reader, std::optional<RelayedRows> rows, Instant asOf);
     void noteSource(const std::string &source);
-    void published();
     void taken(platform::RowsOutcome outcome, bool isWhole, Instant sentAt);
     void failed(std::error_code error);
     void look(Instant now);
@@ -170,7 +163,6 @@
     FollowPace m_pace;
     ChangeHandler m_changed;
     AnswerHandler m_answered;
-    PublishedHandler m_published;
     std::map<std::string, platform::StoreRow> m_rows;
     /** Rows that were removed after m_removedSince. */
     std::vector<platform::StoreRow> m_removed;
@@ -212,11 +204,6 @@
     return m_version;
 }
 
-inline void TableFollower::setPublishedHandler(PublishedHandler handler)
-{
-    m_published = std::move(handler);
-}
-
 inline bool TableFollower::isCutOff() const
 {
     return m_isFailing;
--- a/src/libbulrushio/connection/httpstatus.cpp
+++ b/src/libbulrushio/connection/httpstatus.cpp
@@ -64,4 +64,9 @@
     return {status, {{"Content-Type", "text/plain"}}, advice + '\n'};
 }
 
+HttpResponse textPage(int status, std::string body)
+{
+    return {status, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(body)};
+}
+
 } // namespace bulrush::io
--- a/src/libbulrushio/connection/httpstatus.h
+++ b/src/libbulrushio/connection/httpstatus.h
@@ -15,4 +15,7 @@
  */
 HttpResponse refusal(int status);
 
+/** \returns a page of plain text. Thread safe. */
+HttpResponse textPage(int status, std::string body);
+
 } // namespace bulrush::io
--- a/tests/keyworld/keyworld.cpp
+++ b/tests/keyworld/keyworld.cpp
@@ -165,13 +165,6 @@
     return 0;
 }
 
-std::size_t KeyWorld::firstOwner()
-{
-    const OwnedRange *owned = m_assignment.find(0);
-    Server *server = owned ? serverOf(owned->owner) : nullptr;
-    return server ? server->index : 0;
-}
-
 void KeyWorld::note(const std::string &what)
 {
     if (!m_isScripted)
--- a/tests/keyworld/keyworld.h
+++ b/tests/keyworld/keyworld.h
@@ -68,7 +68,6 @@
 
     /** \returns the daemon that plans, and the server that owns the first key; for steps. */
     std::size_t planner() const;
-    std::size_t firstOwner();
 
     void killDaemon(std::size_t index);
     void startDaemon(std::size_t index);
--- a/tests/requestlife/test_sessions.cpp
+++ b/tests/requestlife/test_sessions.cpp
@@ -1,4 +1,3 @@
-#include "connection/answermatcher.h"
 #include "goldensession.h"
 #include "process/drain.h"
 #include "process/ratelimiter.h"
@@ -13,64 +12,6 @@
 
 namespace {
 
-/** Writes down what becomes of answers on connections. */
-class AnswerSession
-{
-public:
-    void sent(ConnectionId connection, const std::string &attempt)
-    {
-        m_matcher.requestSent(connection, AttemptId{attempt});
-        note(connection, "carries " + attempt);
-    }
-
-    void begun(ConnectionId connection, const std::string &id)
-    {
-        note(connection, "brings an answer with id " + (id.empty() ? "none" : id));
-        const AnswerDecision decision = m_matcher.answerBegun(connection, id);
-        if (const auto *pass = std::get_if<PassToRequest>(&decision)) {
-            golden.note("    goes to the caller of " + pass->attempt.value());
-            return;
-        }
-        const std::string failed = std::get<DropAndClose>(decision).failedAttempt.value();
-        golden.note("    dropped, connection closed"
-                    + (failed.empty() ? "" : ", " + endOf(failed)));
-    }
-
-    void ended(ConnectionId connection)
-    {
-        const bool isKept = m_matcher.answerEnded(connection);
-        note(connection,
-             isKept ? "has brought it whole and is kept" : "ends what nobody waits for");
-    }
-
-    void closed(ConnectionId connection)
-    {
-        note(connection, "is closed by the server");
-        golden.note("    " + endOf(m_matcher.connectionClosed(connection).value()));
-    }
-
-    void timedOut(ConnectionId connection)
-    {
-        m_matcher.abandon(connection);
-        note(connection, "is closed: its request was given up on");
-    }
-
-    GoldenSession golden{"answers"};
-
-private:
-    static std::string endOf(const std::string &attempt)
-    {
-        return attempt + " ends as unknown";
-    }
-
-    void note(ConnectionId connection, const std::string &what)
-    {
-        golden.note("connection " + std::to_string(connection) + " " + what);
-    }
-
-    AnswerMatcher m_matcher;
-};
-
 std::string textOf(const CallerResponse &response)
 {
     const auto &refusal = std::get<RefusalResponse>(response);
@@ -177,26 +118,6 @@
     session.check();
 }
 
-BOOST_AUTO_TEST_CASE(answersLateCrossedDoubledAndCut)
-{
-    AnswerSession session;
-    session.sent(1, "deposit");
-    session.sent(2, "read");
-    session.begun(1, "read");
-    session.begun(2, "read");
-    session.ended(2);
-    session.begun(2, "read");
-    session.sent(3, "booking");
-    session.timedOut(3);
-    session.sent(4, "upload");
-    session.begun(3, "booking");
-    session.begun(4, "upload");
-    session.closed(4);
-    session.sent(5, "status");
-    session.begun(5, "");
-    session.golden.check();
-}
-
 BOOST_AUTO_TEST_CASE(drainWithASlowUploadInFlight)
 {
     GoldenSession session{"drain"};
