Confirm old knowledge with one call where a reader is silent

Change: a follower of a reader asks for the servers alone; a wait in doubt is replaced by another, as the confirmation has brought all that it could; nothing is asked right after the loop was held up, when answers may be there untaken.

--- a/src/libbulrushentry/tablefollower.cpp
+++ b/src/libbulrushentry/tablefollower.cpp
@@ -162,8 +162,9 @@
 /** Sees to it that the rows are confirmed, and that it shows when they can't be. */
 void TableFollower::look(Instant now)
 {
-    if (!m_hasRows || m_isFailing)
-        return;
+    const bool isLoopLate = now - std::exchange(m_lookedAt, now) > 2 * lookEvery;
+    if (!m_hasRows || m_isFailing || isLoopLate)
+        return; // where the loop was held up, answers may be there that are yet to be taken
     if (m_confirmingSince) {
         const bool isLate = now - *m_confirmingSince >= m_pace.confirmation->within;
         if (isLate && now - m_knownAt >= m_pace.confirmation->after
@@ -177,7 +178,11 @@
                  {{"table", m_table},
                   {"source", m_source},
                   {"age-ms", io::millisecondsText(now - m_knownAt)}});
-    m_parts.group.confirmAll();
+    // A reader's silence shows with each table; the store's may hide behind a wait of ten seconds.
+    if (m_source == storeSource)
+        m_parts.group.confirmAll();
+    else
+        confirm();
 }
 
 void TableFollower::confirm()
@@ -196,22 +201,25 @@
 
 void TableFollower::confirmed(platform::RowsOutcome outcome, Instant sentAt)
 {
-    // A table that is waited for longer has not missed its time; its wait may stand.
-    const bool isWaitLost = m_wait && m_wait == m_waitDoubted
-        && (m_pace.confirmation || outcome.error == platform::StoreError::HistoryGone);
-    const bool isRefused = static_cast<bool>(outcome.error);
-    if (!isRefused && !m_isFailing && !m_isReading) {
-        m_answered(adopt(std::move(outcome), false, false, sentAt));
-        m_parts.group.published();
-    }
-    if (isRefused) {
+    const bool isWaitDoubted = m_wait && m_wait == m_waitDoubted;
+    if (outcome.error) {
         const Instant now = io::hostNow();
         m_parts.group.noteTrouble(now);
         m_confirmAgainAt = now + longestRetry;
         m_isUnconfirmed = true;
+        if (isWaitDoubted)
+            askAnew();
+        return;
     }
-    if (isWaitLost)
-        askAnew();
+    if (m_isFailing || m_isReading)
+        return;
+    m_answered(adopt(std::move(outcome), false, false, sentAt));
+    m_parts.group.published();
+    if (!isWaitDoubted)
+        return;
+    // All that the wait could bring is known now.
+    m_parts.store.cancel(*m_wait);
+    followStore();
 }
 
 void TableFollower::askAnew()
--- a/src/libbulrushentry/tablefollower.h
+++ b/src/libbulrushentry/tablefollower.h
@@ -178,6 +178,7 @@
     Duration m_retry = firstRetry;
     Instant m_failingSince;
     bool m_isFailing = false;
+    Instant m_lookedAt;
     /** When the confirmation that there is no answer to yet was asked for. */
     std::optional<Instant> m_confirmingSince;
     /** The wait that stood when it was asked for. */
