--- a/src/libbulrushentry/tablefollower.h
+++ b/src/libbulrushentry/tablefollower.h
@@ -44,7 +44,8 @@
     Duration wait = std::chrono::seconds{10};
     /** Between a change and the next call, so that one call brings several changes. */
     Duration pause{};
-    /** Of tables whose age binds; the others of the daemon are asked for along with them. */
+    /** Of tables whose age binds; a daemon that reads the store asks for the others along with
+     * them. */
     std::optional<Confirmation> confirmation = std::nullopt;
 };
 
