Tell requests apart by a fingerprint in the logs

Logs named the key of a request, not which request it was, so that they could not tell a request that ends each server it reaches from others for the same key that were under way with it. Decisions are unchanged.

--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -39,6 +39,8 @@
 constexpr double retryAfterSpread = 0.5;
 /** Backend servers get this much less time than is left, so that their answers still come in. */
 constexpr Duration answerTravel = std::chrono::milliseconds{4};
+/** Characters of a request's path and query that a log line gives at most. */
+constexpr std::size_t loggedPath = 80;
 
 std::string retryAfter(std::uint64_t hash)
 {
@@ -128,6 +130,7 @@
         return;
     if (m_request->isBodyWhole()) {
         *m_body = m_request->body();
+        noteFingerprint();
         enqueue(m_startedAt);
         return;
     }
@@ -144,10 +147,19 @@
                 self->readBody();
                 return;
             }
+            self->noteFingerprint();
             self->enqueue(io::hostNow());
         });
 }
 
+void ForwardExchange::noteFingerprint()
+{
+    const io::RequestHead &head = m_request->head();
+    const io::HttpHeader *host = io::findField(head.headers, "Host");
+    m_fingerprint = RequestFingerprint{
+        {head.method, host ? std::string_view{host->value} : "", head.target, *m_body}};
+}
+
 void ForwardExchange::enqueue(Instant notBefore)
 {
     WaitingRequest waiting;
@@ -286,6 +298,8 @@
                                   now - m_sentAt, std::nullopt, now);
     io::logEvent(LogLevel::Info, "attempt-broke",
                  {{"request", m_terms.id},
+                  {"fingerprint", m_fingerprint->toString()},
+                  {"path", m_request->head().target.substr(0, loggedPath)},
                   {"server", m_server.value()},
                   {"sent", isUnsent ? "no" : "yes"},
                   {"after-ms", io::millisecondsText(now - m_sentAt)},
@@ -439,6 +453,8 @@
                   {"reason", std::string{reason}},
                   {"route", m_route ? m_route->name : "none"},
                   {"service", m_service.value()},
+                  {"fingerprint", m_fingerprint ? m_fingerprint->toString() : "none"},
+                  {"caller", std::string{caller()}},
                   {"key", m_terms.key ? std::to_string(*m_terms.key) : "none"},
                   {"owner", owned ? owned->owner.value() : ""},
                   {"moving", owned && owned->isMoving() ? "yes" : "no"},
@@ -465,6 +481,13 @@
     return XXH3_64bits(m_terms.id.data(), m_terms.id.size());
 }
 
+/** \returns the caller's address without its port. */
+std::string_view ForwardExchange::caller() const
+{
+    const std::string_view address = m_request->remoteAddress();
+    return address.substr(0, address.rfind(':'));
+}
+
 Duration ForwardExchange::elapsed() const
 {
     return io::hostNow() - m_startedAt;
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -5,6 +5,7 @@
 #include "connection/servercall.h"
 #include "forwardcontext.h"
 #include "platform/requestfields.h"
+#include "request/requestfingerprint.h"
 #include "version/routingconfig.h"
 
 #include <memory>
@@ -43,6 +44,7 @@
     bool resolve();
     bool admitKey();
     void readBody();
+    void noteFingerprint();
     void enqueue(Instant notBefore);
     Instant noteChoice();
     void logSteps(const io::CallTimes &times);
@@ -61,6 +63,7 @@
     void log(std::string_view outcome, int status, std::string_view reason) const;
     const KeyAssignment *currentAssignment() const;
     std::uint64_t hash() const;
+    std::string_view caller() const;
     Duration elapsed() const;
     Duration left() const;
 
@@ -74,6 +77,8 @@
     ServiceName m_service;
     bool m_isDividedByKey = false;
     std::shared_ptr<std::string> m_body = std::make_shared<std::string>();
+    /** Of the whole request; nothing until its body is here. */
+    std::optional<RequestFingerprint> m_fingerprint;
     std::uint64_t m_ticket = 0;
     Instant m_startedAt;
     Instant m_answerBy;
