--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -128,6 +128,8 @@
         arguments.emplace_back("--keyed");
     if (server.hangsWhenFull)
         arguments.emplace_back("--hang-when-full");
+    if (!server.crashOn.empty())
+        arguments.insert(arguments.end(), {"--crash-on", server.crashOn});
     m_kinds[server.id] = server;
     m_servers[server.id] = std::make_unique<ChildProcess>(binary("keyed-standin"), arguments);
     writeRecord(server.id, "ready");
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -30,6 +30,8 @@
     std::string address = {};
     /** The start of this run that its record tells, in Unix milliseconds; 0: it tells none. */
     std::int64_t startedAtMs = 0;
+    /** Work on paths that hold this text ends the server; empty: none does. */
+    std::string crashOn = {};
 };
 
 /** Work that a backend server did, on the clock that all processes share. */
--- a/tests/standins/keyed/keyedserver.cpp
+++ b/tests/standins/keyed/keyedserver.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdlib>
 #include <utility>
 
 namespace bulrush::standins {
@@ -16,6 +17,9 @@
 constexpr const char *targetField = "X-Bulrushswitch-Target-Instance";
 constexpr const char *keyField = "X-Bulrushswitch-Shard-Key";
 
+/** Of a process that work has ended. */
+constexpr int crashCode = 3;
+
 Instant now()
 {
     return Instant{std::chrono::steady_clock::now().time_since_epoch()};
@@ -218,6 +222,8 @@
 void KeyedServer::finished(std::list<Work>::iterator place)
 {
     const Work work = std::move(*place);
+    if (isCrashing(work))
+        std::_Exit(crashCode);
     m_running.erase(place);
     m_runs[work.run].endUs = nowUs();
     answer(work);
@@ -229,6 +235,12 @@
     start(std::move(next));
 }
 
+bool KeyedServer::isCrashing(const Work &work) const
+{
+    const std::string_view path = work.request->header().path();
+    return !m_settings.crashOn.empty() && path.find(m_settings.crashOn) != std::string_view::npos;
+}
+
 void KeyedServer::answer(const Work &work)
 {
     Answer answer{200, fields(work.requestId), {}};
--- a/tests/standins/keyed/keyedserver.h
+++ b/tests/standins/keyed/keyedserver.h
@@ -35,6 +35,8 @@
     std::int64_t clockPpm = 0;
     /** Requests that it can't queue get no answer, nor does anything later on their connections. */
     bool hangsWhenFull = false;
+    /** Work on paths that hold this text ends the process as it is done; empty: none does. */
+    std::string crashOn = {};
 };
 
 /** How a keyed server spoils answers to work that it did. */
@@ -94,6 +96,7 @@
     void take(const RequestHandle &request);
     void start(Work work);
     void finished(std::list<Work>::iterator place);
+    bool isCrashing(const Work &work) const;
     void answer(const Work &work);
     bool isForOther(const RequestHandle &request) const;
     std::optional<AnswerSpoil> nextSpoil();
--- a/tests/standins/keyed/main.cpp
+++ b/tests/standins/keyed/main.cpp
@@ -26,6 +26,7 @@
     app.add_option("--clock-ppm", settings.clockPpm, "how much slower its clock runs");
     app.add_flag("--keyed", settings.isKeyed, "run requests only under a grant of their key");
     app.add_flag("--hang-when-full", settings.hangsWhenFull, "don't answer what can't be queued");
+    app.add_option("--crash-on", settings.crashOn, "work on paths with this text ends the process");
     CLI11_PARSE(app, argc, argv);
     endWithParent();
     settings.serviceTime = std::chrono::milliseconds{serviceMs};
