--- a/src/libbulrushentry/crashcontrol.cpp
+++ b/src/libbulrushentry/crashcontrol.cpp
@@ -30,9 +30,10 @@
 
 } // namespace
 
-CrashControl::CrashControl(platform::StoreClient &store, const HostName &self,
+CrashControl::CrashControl(const FollowParts &parts, const HostName &self,
                            QuarantineHandler publish)
-    : m_store(store)
+    : m_store(parts.store)
+    , m_plan(parts.plan)
     , m_self(self)
     , m_publish(std::move(publish))
     , m_ledger(self)
@@ -106,8 +107,11 @@
 
 void CrashControl::advance(Instant now)
 {
-    if (auto action = m_ledger.dueWrite(now))
-        write(std::move(*action));
+    // Refused calls are paid for as well: while the store turns this daemon away, reports wait.
+    if (!m_plan.isStoreFailing()) {
+        if (auto action = m_ledger.dueWrite(now))
+            write(std::move(*action));
+    }
     if (auto next = m_ledger.changed()) {
         logBlocked(*next);
         m_quarantine = next;
--- a/src/libbulrushentry/crashcontrol.h
+++ b/src/libbulrushentry/crashcontrol.h
@@ -22,8 +22,8 @@
 public:
     using QuarantineHandler = std::function<void(std::shared_ptr<const Quarantine>)>;
 
-    /** \pre \a store outlives this object and its calls */
-    CrashControl(platform::StoreClient &store, const HostName &self, QuarantineHandler publish);
+    /** \pre the parts outlive this object and its calls */
+    CrashControl(const FollowParts &parts, const HostName &self, QuarantineHandler publish);
 
     CrashControl(const CrashControl &) = delete;
     CrashControl &operator=(const CrashControl &) = delete;
@@ -53,6 +53,7 @@
     void logBlocked(const Quarantine &next) const;
 
     platform::StoreClient &m_store;
+    FollowPlan &m_plan;
     HostName m_self;
     QuarantineHandler m_publish;
     CrashLedger m_ledger;
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -74,7 +74,7 @@
     , m_keys({followParts(), m_client, m_state},
              {m_settings.host, newIncarnation(m_settings.host), m_settings.domain, m_settings.peers,
               patienceOf(m_settings), m_settings.processors})
-    , m_crashes(m_store, m_settings.host,
+    , m_crashes(followParts(), m_settings.host,
                 [this](std::shared_ptr<const Quarantine> quarantine) {
                     m_worker.setQuarantine(std::move(quarantine));
                 })
--- a/tests/entryfleet/crashfleet.h
+++ b/tests/entryfleet/crashfleet.h
@@ -2,6 +2,7 @@
 
 #include "entryfleet/entryfleet.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <map>
@@ -77,6 +78,24 @@
         }
     }
 
+    /** Brings `/find/bad` to each host in turn until it is blocked at all, or half a minute. */
+    bool blockFind()
+    {
+        const auto end = Clock::now() + std::chrono::seconds{30};
+        for (std::size_t i = 0; Clock::now() < end && !isBlockedAtAll(); ++i) {
+            send(hosts[i % hosts.size()], "GET", "/find/bad");
+            lookAfterServersFor(std::chrono::milliseconds{300});
+        }
+        return isBlockedAtAll();
+    }
+
+    bool isBlockedAtAll()
+    {
+        return std::ranges::all_of(hosts, [this](const std::string &host) {
+            return page(host, "/quarantine").find(" blocked ") != std::string::npos;
+        });
+    }
+
     /** \returns how many servers ended later than the window after the third did. */
     std::size_t laterCrashes() const
     {
--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -450,6 +450,11 @@
     return m_http.get(daemon(host).address("operators") + path).body;
 }
 
+int EntryFleet::postToPage(const std::string &host, const std::string &path)
+{
+    return m_http.post(daemon(host).address("operators") + path, {}).status;
+}
+
 std::string EntryFleet::planner()
 {
     for (const auto &[host, process] : m_daemons) {
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -153,6 +153,9 @@
     /** \returns a page of \a host's daemon for operators. */
     std::string page(const std::string &host, const std::string &path);
 
+    /** Posts to a page of \a host's daemon for operators. \returns the status. */
+    int postToPage(const std::string &host, const std::string &path);
+
     /** \returns the host whose daemon plans, or "". */
     std::string planner();
 
--- a/tests/entryfleet/test_entrycrashes.cpp
+++ b/tests/entryfleet/test_entrycrashes.cpp
@@ -4,11 +4,14 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
+#include <thread>
+#include <vector>
 
 using namespace bulrush::test;
 using namespace std::chrono_literals;
@@ -69,3 +72,79 @@
     BOOST_TEST(crashes.size() >= 3U);
     BOOST_TEST(laterCrashes() <= mostLater, laterCrashes() << " of " << crashes.size());
 }
+
+BOOST_FIXTURE_TEST_CASE(theRefusalSaysThatItHasNotRunAndNoTimeToComeBack, CrashFleet)
+{
+    BOOST_REQUIRE(blockFind());
+    const std::size_t before = crashes.size();
+    for (const std::string &host : hosts) {
+        const SyncHttpResult refusal = send(host, "GET", "/find/bad");
+        BOOST_TEST(refusal.status == 503);
+        BOOST_TEST(!refusal.header("Retry-After").has_value());
+    }
+    lookAfterServersFor(500ms);
+    BOOST_TEST(crashes.size() == before);
+}
+
+BOOST_FIXTURE_TEST_CASE(daemonsThatAllStartAgainKnowWhatIsBlocked, CrashFleet)
+{
+    BOOST_REQUIRE(blockFind());
+    for (const std::string &host : hosts)
+        daemon(host).kill();
+    startDaemons();
+    lookAfterServersFor(restartAfter);
+    awaitServing();
+    const std::size_t before = crashes.size();
+    for (const std::string &host : hosts)
+        BOOST_TEST(send(host, "GET", "/find/bad").status == 503);
+    lookAfterServersFor(500ms);
+    BOOST_TEST(crashes.size() == before);
+}
+
+BOOST_FIXTURE_TEST_CASE(anOperatorLiftsABlockAtOneDaemonForAll, CrashFleet)
+{
+    BOOST_REQUIRE(blockFind());
+    const std::string list = page("a1", "/quarantine");
+    const std::string fingerprint = list.substr(0, list.find(' '));
+    BOOST_TEST(postToPage("a1", "/quarantine/lift/0123456789abcdef") == 404);
+    BOOST_TEST(postToPage("a1", "/quarantine/lift/x") == 400);
+    BOOST_TEST(postToPage("a1", "/quarantine/lift/" + fingerprint) == 200);
+    BOOST_TEST(eventually([&] {
+        return std::ranges::none_of(hosts, [&](const std::string &host) {
+            return page(host, "/quarantine").find(fingerprint) != std::string::npos;
+        });
+    }));
+}
+
+BOOST_FIXTURE_TEST_CASE(aPopularReadAtServersThatAreKilledTogetherIsServedOn, CrashFleet)
+{
+    // Slow enough that one is under way at each server that is killed.
+    for (const std::string id : {"p7", "p8", "p9"}) {
+        EntryServer slow{id, "payments", "a", false, 1500, 1};
+        slow.startedAtMs = 1;
+        startServer(slow);
+    }
+    for (const std::string id : {"p1", "p2", "p3", "p4", "p5", "p6"})
+        server(id).kill();
+    std::vector<std::thread> readers;
+    for (const std::string &host : hosts)
+        readers.emplace_back([this, host] {
+            SyncHttp http;
+            SyncHttpRequest request;
+            request.url = callersAddress(host) + "/find/popular";
+            request.headers = {{"Host", "shop.example"},
+                               {"X-Bulrushswitch-Request-Id", "popular-" + host},
+                               {"X-Bulrushswitch-Deadline-Ms", "4000"}};
+            http.send(request);
+        });
+    std::this_thread::sleep_for(800ms);
+    for (const std::string id : {"p7", "p8", "p9"})
+        server(id).kill();
+    for (std::thread &reader : readers)
+        reader.join();
+    lookAfterServersFor(restartAfter + 500ms);
+    for (const std::string &host : hosts) {
+        BOOST_TEST(eventually([&] { return send(host, "GET", "/find/popular").status == 200; }));
+        BOOST_TEST(page(host, "/quarantine").find(" blocked ") == std::string::npos);
+    }
+}
