--- a/src/libbulrushentry/crashcontrol.cpp
+++ b/src/libbulrushentry/crashcontrol.cpp
@@ -109,8 +109,8 @@
 {
     // Refused calls are paid for as well: while the store turns this daemon away, reports wait.
     if (!m_plan.isStoreFailing()) {
-        if (auto action = m_ledger.dueWrite(now))
-            write(std::move(*action));
+        if (const auto action = m_ledger.dueWrite(now))
+            write(*action);
     }
     if (auto next = m_ledger.changed()) {
         logBlocked(*next);
@@ -119,7 +119,7 @@
     }
 }
 
-void CrashControl::write(CrashRowWrite action)
+void CrashControl::write(const CrashRowWrite &action)
 {
     platform::StoreCommit commit{std::string{platform::ownershipTable}, {}};
     commit.writes.push_back(
--- a/src/libbulrushentry/crashcontrol.h
+++ b/src/libbulrushentry/crashcontrol.h
@@ -49,7 +49,7 @@
 private:
     void takeRow(const platform::StoreRow &row, Instant now);
     void noteMissing(const TableChange &change, Instant now);
-    void write(CrashRowWrite action);
+    void write(const CrashRowWrite &action);
     void logBlocked(const Quarantine &next) const;
 
     platform::StoreClient &m_store;
