Ask the store at once where the first three of an order have lost it

Callers were refused routes for 3.0 s, by all hosts of a failure domain, where 2.5 s are allowed, while the store was silent to a third of the hosts. Those that others follow found out one after the other, a timeout each, and when the first three had refused all others waited up to 0.8 s before they tried. The next five of the order now ask at once.

--- a/src/libbulrush/process/followplan.cpp
+++ b/src/libbulrush/process/followplan.cpp
@@ -27,11 +27,17 @@
     if (!isAlone || m_isStoreFailing)
         reader = m_readers.reader(place(), now);
     if (!m_isStoreFailing) {
+        const bool isFirstRefused = !isEager() && m_readers.haveEagerRefused(now);
+        // The store may be silent to the first of the order alone: those that come next ask it all
+        // at once, so that one of them has rows to tell. One after the other, each would find out
+        // by a timeout of its own, and a configuration came too late to a whole failure domain.
+        if (isFirstRefused && isFollowed())
+            return AskStore{};
         if (reader)
             return AskReader{std::move(*reader)};
-        // Those that try most often say that they have lost the store: more tries tell no more.
-        if (isEager() || !m_readers.haveEagerRefused(now))
+        if (!isFirstRefused)
             return AskStore{};
+        // Nobody who is followed has the store: more tries tell no more.
         m_isStoreFailing = true;
         pauseStore(now);
         return AskLater{lookAgain};
@@ -109,6 +115,12 @@
     return m_readers.rank() < ReaderChoice::eagerRanks;
 }
 
+/** \returns whether others may follow this daemon. */
+bool FollowPlan::isFollowed() const
+{
+    return m_readers.rank() < ReaderChoice::mostReaders;
+}
+
 bool FollowPlan::mayAskStore(Instant now) const
 {
     return !m_isStoreFailing || now >= m_tryStoreAt;
--- a/src/libbulrush/process/followplan.h
+++ b/src/libbulrush/process/followplan.h
@@ -121,6 +121,7 @@
     ReaderPlace place() const;
     bool isRestarting(Instant now) const;
     bool isEager() const;
+    bool isFollowed() const;
     void pauseStore(Instant now);
     bool isWaitingForOthers(const FollowedTable &table, Instant now) const;
 
--- a/tests/rowsworld/rowsworld.cpp
+++ b/tests/rowsworld/rowsworld.cpp
@@ -630,4 +630,17 @@
     wakeWaits(Servers);
 }
 
+void RowsWorld::changeConfig()
+{
+    m_versions[Config] = ++m_version;
+    wakeWaits(Config);
+}
+
+std::size_t RowsWorld::behindCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_daemons, [this](const auto &daemon) {
+        return couldAskStore(*daemon) && daemon->tables[Config].version < m_versions[Config];
+    }));
+}
+
 } // namespace bulrush::test
--- a/tests/rowsworld/rowsworld.h
+++ b/tests/rowsworld/rowsworld.h
@@ -86,6 +86,11 @@
     void removeRows(const std::vector<std::size_t> &daemons);
     /** Writes a row of the table of backend servers. */
     void changeServers();
+    /** Writes a new configuration. */
+    void changeConfig();
+
+    /** \returns how many daemons that could ask the store don't know the configuration. */
+    std::size_t behindCount() const;
 
 private:
     static constexpr std::size_t tableCount = 3;
--- a/tests/rowsworld/test_rowsworld.cpp
+++ b/tests/rowsworld/test_rowsworld.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint64_t callsPerReaderAndSecond = 3;
 /** Servers may be used by knowledge of this age at most, of a bound of three seconds. */
 constexpr Duration oldest = DrainBudget{3s}.unconfirmedUse();
+/** Within which a configuration is to be in force where the drain bound is three seconds. */
+constexpr Duration configBound = 3s;
 
 struct CalmWorld
 {
@@ -131,6 +133,38 @@
     BOOST_TEST((world.takeOldestKnowledge() < oldest));
 }
 
+// What callers saw: routes that had been added 3.0 s before were refused by all hosts of a failure
+// domain, where 2.5 s are allowed, while the store was silent to a third of the hosts. Who reads
+// for the others was one of them; the next in the order began to ask the store only when it heard
+// of that, and found out the same way, 0.9 s later, and so on; when the first three had, the others
+// took their word and tried the store after a pause of up to 0.8 s.
+BOOST_FIXTURE_TEST_CASE(aConfigurationComesInTimeThoughTheStoreIsSilentToTheFirstOfEachOrder,
+                        CalmWorld)
+{
+    for (std::size_t first : {1U, 2U, 3U, 4U}) {
+        for (std::size_t domain = 0; domain < domains; ++domain) {
+            for (std::size_t rank = 0; rank < first; ++rank)
+                world.setStore(world.daemonOf(domain, rank), StoreState::Silent);
+        }
+        world.play(700ms);
+        world.changeConfig();
+        const std::uint64_t before = world.storeCalls();
+        world.play(configBound);
+        BOOST_TEST(world.behindCount() == 0U,
+                   world.behindCount() << " daemons, silent to " << first << " of each order");
+        BOOST_TEST_MESSAGE("calls while the store is silent to the first "
+                           << first << " of each order: " << world.storeCalls() - before);
+        // A daemon confirms what it knows and tries the store once; those that others may follow
+        // read it meanwhile.
+        const std::uint64_t reading =
+            domains * ReaderChoice::mostReaders * callsPerReaderAndSecond * 4;
+        BOOST_TEST(world.storeCalls() - before <= 2 * world.daemonCount() + reading);
+        for (std::size_t i = 0; i < world.daemonCount(); ++i)
+            world.setStore(i, StoreState::Answering);
+        world.play(20s);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(aStoreThatIsAwayForAllIsNotPressed, CalmWorld)
 {
     for (const StoreState state : {StoreState::Refusing, StoreState::Silent}) {
