Tell what a daemon saw before it knew its own row, and write rows anew that are gone or spoiled

Found by reading: a daemon that saw a server end right after its start, before it had read the row of its earlier run, took that row over and never told of the end; and a row that can't be read was taken for none, so that every write of it was refused. Rows of crashes are among the inputs that test_mutations spoils.

--- a/src/libbulrush/process/crashledger.cpp
+++ b/src/libbulrush/process/crashledger.cpp
@@ -73,10 +73,7 @@
                           Instant now)
 {
     if (host == m_self) {
-        // What an earlier run of this daemon saw still holds.
-        if (row && !std::exchange(m_hasOwnRow, true))
-            adoptOwn(*row, now);
-        m_ownVersion = row ? std::max(version, m_ownVersion) : 0;
+        ownRowSeen(version, row, now);
         return;
     }
     const auto place = m_others.find(host);
@@ -92,12 +89,19 @@
     changedHere();
 }
 
-void CrashLedger::adoptOwn(const CrashRow &row, Instant now)
+void CrashLedger::ownRowSeen(std::uint64_t version, const std::optional<CrashRow> &row, Instant now)
 {
-    reported(row.reports, now);
-    for (const CrashAcquittal &acquittal : row.acquittals)
+    if (version < m_ownVersion)
+        return; // as it was before the last write
+    m_ownVersion = row ? version : 0;
+    if (!row || std::exchange(m_hasOwnRow, true))
+        return;
+    // What an earlier run of this daemon saw still holds, and others know of it.
+    const bool wasUntold = m_isUntold;
+    reported(row->reports, now);
+    for (const CrashAcquittal &acquittal : row->acquittals)
         acquit(acquittal.request, acquittal.servers);
-    m_isUntold = false;
+    m_isUntold = wasUntold;
 }
 
 void CrashLedger::rowsSeen()
--- a/src/libbulrush/process/crashledger.h
+++ b/src/libbulrush/process/crashledger.h
@@ -24,9 +24,9 @@
  * in a row of its own, in a table that all follow, and all judge by all rows, in the same way:
  * nobody has to be asked, and a daemon that starts knows what was known before.
  *
- * A server ends under all that it was at. So a request is answered for as soon as any server
- * answers it: reports of ends before that count no more. Only ends cost a call to the store, and
- * answers to requests under which several servers have ended.
+ * A server ends under all requests that it was at, of which one is to blame at most. So as soon as
+ * any server answers a request, reports of ends before that count no more. Calls to the store are
+ * made for ends of servers, and for answers to requests under which several servers have ended.
  *
  * Not thread safe. Instants never go back.
  */
@@ -41,7 +41,7 @@
     /** Of a row: some 80 bytes each, so that 195 full rows have half a megabyte. */
     static constexpr std::size_t mostReports = 32;
     static constexpr std::size_t mostAcquittals = 32;
-    /** Servers that an answer is told to speak for at once. */
+    /** An answer is told at once where as many servers have ended: one more blocks the request. */
     static constexpr std::size_t tellingCrashes = 2;
     /**
      * Answers are told after up to this time, unless another daemon has told the same meanwhile: a
@@ -66,7 +66,7 @@
      */
     bool lift(const RequestFingerprint &request);
 
-    /** Takes in the row of \a host; nothing if it has none, or none that can be read. */
+    /** Takes in the row of \a host as of \a version of the store; nothing if it has none. */
     void rowSeen(const HostName &host, std::uint64_t version, std::optional<CrashRow> row,
                  Instant now);
 
@@ -102,7 +102,7 @@
     using Suspects = std::map<RequestFingerprint, SuspectRequest>;
     using Acquitted = std::set<std::pair<RequestFingerprint, ServerName>>;
 
-    void adoptOwn(const CrashRow &row, Instant now);
+    void ownRowSeen(std::uint64_t version, const std::optional<CrashRow> &row, Instant now);
     void acquit(const RequestFingerprint &request, const std::vector<ServerName> &servers);
     bool isTellingDue(Instant now);
     void forgetOld(Instant now);
@@ -123,7 +123,7 @@
     std::map<HostName, OtherRow> m_others;
     /** What this daemon's row says, as it was written last. */
     CrashRow m_written;
-    /** Acquittals that others may have told by then. */
+    /** Requests whose answers are told then, unless another daemon has told by then. */
     std::map<RequestFingerprint, Instant> m_tellAt;
     /** Of this daemon's own row; 0: there is none. */
     std::uint64_t m_ownVersion = 0;
@@ -132,6 +132,7 @@
     bool m_isUntold = false;
     bool m_isWriting = false;
     bool m_hasRows = false;
+    /** The own row was seen or written: it says nothing that is not known here. */
     bool m_hasOwnRow = false;
     /** By all rows; judged anew when it is asked for. */
     Suspects m_suspects;
--- a/src/libbulrushentry/crashcontrol.cpp
+++ b/src/libbulrushentry/crashcontrol.cpp
@@ -59,6 +59,8 @@
         decoded = io::decodeCrashRow(row.value);
         if (!decoded)
             io::logEvent(LogLevel::Error, "crash-row-unreadable", {{"row", row.key}});
+        // The row is there all the same, and its version is needed to write it anew.
+        decoded = decoded.value_or(CrashRow{});
     }
     const HostName host{row.key.substr(crashPrefix.size())};
     m_ledger.rowSeen(host, row.version, std::move(decoded), now);
@@ -66,7 +68,9 @@
 
 void CrashControl::noteMissing(const TableChange &change, Instant now)
 {
-    for (const HostName &host : m_ledger.hosts()) {
+    std::vector<HostName> hosts = m_ledger.hosts();
+    hosts.push_back(m_self);
+    for (const HostName &host : hosts) {
         if (std::ranges::find(change.rows, rowKey(host), &platform::StoreRow::key)
             == change.rows.end())
             m_ledger.rowSeen(host, change.version, std::nullopt, now);
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -120,11 +120,12 @@
                 exchange->second->sendTo(server);
         });
     for (const GivenUp &request : givenUp) {
-        if (const auto exchange = open.find(request.ticket); exchange != open.end())
-            std::shared_ptr
-            {
-                exchange->second
-                } -> refuse(nameOf(request.reason));
+        const auto place = open.find(request.ticket);
+        if (place == open.end())
+            continue;
+        // The refusal takes it out of the open ones.
+        const std::shared_ptr<ForwardExchange> exchange = place->second;
+        exchange->refuse(nameOf(request.reason));
     }
     if (queue.size() > 0 && !std::exchange(m_isLookDue, true))
         timers.after(lookAgain, [this](Instant later) {
--- a/tests/crashes/test_crashledger.cpp
+++ b/tests/crashes/test_crashledger.cpp
@@ -195,6 +195,39 @@
     BOOST_TEST(isBlockedEverywhere(bad));
 }
 
+BOOST_FIXTURE_TEST_CASE(whatADaemonSawBeforeItKnewItsRowIsToldWithIt, Daemons)
+{
+    see(0, bad, server(1));
+    at(0) = CrashLedger{hosts[0]};
+    const CrashReport report{good, server(2), {}};
+    at(0).reported({&report, 1}, now);
+    spread();
+    at(0).rowsSeen();
+    spread();
+    BOOST_TEST(rows.at(hosts[0]).second.reports.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(aRowThatWasRemovedOrSpoiledIsWrittenAnew, Daemons)
+{
+    see(0, bad, server(1));
+    at(0).rowSeen(hosts[0], ++version, std::nullopt, now);
+    const CrashReport second{bad, server(2), {}};
+    at(0).reported({&second, 1}, now);
+    const auto written = at(0).dueWrite(now);
+    BOOST_REQUIRE(written.has_value());
+    BOOST_TEST(written->expectedVersion == 0U);
+    at(0).written(RowWriteEnd::Done, ++version, now);
+    // A word from before the write is no news.
+    at(0).rowSeen(hosts[0], version - 1, std::nullopt, now);
+    at(0).rowSeen(hosts[0], ++version, CrashRow{}, now);
+    const CrashReport third{bad, server(3), {}};
+    at(0).reported({&third, 1}, now);
+    const auto again = at(0).dueWrite(now);
+    BOOST_REQUIRE(again.has_value());
+    BOOST_TEST(again->expectedVersion == version);
+    BOOST_TEST(again->row.reports.size() == 3U);
+}
+
 BOOST_FIXTURE_TEST_CASE(theBlockEnds, Daemons)
 {
     for (int i = 1; i <= 3; ++i)
--- a/tests/platformadapter/test_mutations.cpp
+++ b/tests/platformadapter/test_mutations.cpp
@@ -5,6 +5,7 @@
 #include "platform/requestfields.h"
 #include "platform/serverrow.h"
 #include "platform/storeclient.h"
+#include "version/crashrowcodec.h"
 #include "version/keyassignmentcodec.h"
 #include "version/loadsamplecodec.h"
 #include "version/renewalcodec.h"
@@ -102,6 +103,11 @@
          [](const std::string &text) {
              return io::decodeDaemonRow(text).has_value();
          }},
+        {"crash row",
+         io::encodeCrashRow({{{{}, ServerName{"one"}, {ServerName{"two"}}}}, {{{}, {}}}}),
+         [](const std::string &text) {
+             return io::decodeCrashRow(text).has_value();
+         }},
         {"question", io::encodeQuestion({assignment.service, assignment, 12, {ServerName{"one"}}}),
          [](const std::string &text) {
              return io::decodeQuestion(text).has_value();
