Read and write lists of servers in one place, and take a suspect's reports back in one

Four codecs read the names of servers from a JSON array and wrote them, each with a loop of its own; the ledger of crashes looked a suspect up and copied its servers in two. Found by reading the change; behaviour is as it was. A comment tells no history any more, a precondition is stated.

--- a/src/libbulrush/process/crashledger.cpp
+++ b/src/libbulrush/process/crashledger.cpp
@@ -34,23 +34,24 @@
 
 void CrashLedger::answered(const RequestFingerprint &request, Instant now)
 {
-    const auto suspect = suspects().find(request);
-    if (suspect == suspects().end())
-        return;
-    const std::vector<ServerName> servers = suspect->second.servers;
-    acquit(request, servers);
-    if (endsToOthers(request) >= tellingCrashes)
+    if (acquitSuspect(request) && endsToOthers(request) >= tellingCrashes)
         m_tellAt.try_emplace(request, tellAt(request, now));
 }
 
 bool CrashLedger::lift(const RequestFingerprint &request)
+{
+    const bool isKnown = acquitSuspect(request);
+    m_isUntold = m_isUntold || isKnown;
+    return isKnown;
+}
+
+/** Takes back all that counts against \a request. \returns whether there was anything. */
+bool CrashLedger::acquitSuspect(const RequestFingerprint &request)
 {
     const auto suspect = suspects().find(request);
-    if (suspect == suspects().end())
+    if (suspect == m_suspects.end())
         return false;
-    const std::vector<ServerName> servers = suspect->second.servers;
-    acquit(request, servers);
-    m_isUntold = true;
+    acquit(request, suspect->second.servers);
     return true;
 }
 
--- a/src/libbulrush/process/crashledger.h
+++ b/src/libbulrush/process/crashledger.h
@@ -79,7 +79,7 @@
     /** \returns a write of this daemon's row that is due, and notes that it has begun. */
     std::optional<CrashRowWrite> dueWrite(Instant now);
 
-    /** Takes in the end of the last write. */
+    /** Takes in the end of the last write. \pre dueWrite() returned one that has not ended */
     void written(RowWriteEnd end, std::uint64_t version, Instant now);
 
     /** \returns what is known, if it has changed since the last call, or null. */
@@ -103,6 +103,7 @@
     using Acquitted = std::set<std::pair<RequestFingerprint, ServerName>>;
 
     void ownRowSeen(std::uint64_t version, const std::optional<CrashRow> &row, Instant now);
+    bool acquitSuspect(const RequestFingerprint &request);
     void acquit(const RequestFingerprint &request, const std::vector<ServerName> &servers);
     bool isTellingDue(Instant now);
     void forgetOld(Instant now);
--- a/src/libbulrush/process/crashwatch.h
+++ b/src/libbulrush/process/crashwatch.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <span>
 #include <vector>
 
 namespace bulrush {
--- a/src/libbulrush/process/followplan.cpp
+++ b/src/libbulrush/process/followplan.cpp
@@ -30,7 +30,8 @@
         const bool isFirstRefused = !isEager() && m_readers.haveEagerRefused(now);
         // The store may be silent to the first of the order alone: those that come next ask it all
         // at once, so that one of them has rows to tell. One after the other, each would find out
-        // by a timeout of its own, and a configuration came too late to a whole failure domain.
+        // by a timeout of its own, and a configuration would come too late to a whole failure
+        // domain.
         if (isFirstRefused && isFollowed())
             return AskStore{};
         if (reader)
--- a/src/libbulrushio/process/leasecodec.cpp
+++ b/src/libbulrushio/process/leasecodec.cpp
@@ -1,6 +1,7 @@
 #include "process/leasecodec.h"
 
 #include "process/jsonreader.h"
+#include "process/servernamelist.h"
 #include "version/assignmentcodec.h"
 
 #include <array>
@@ -89,18 +90,6 @@
     return {reader.fence("stop"), decodePiece(reader), ServerName{reader.text("server")}};
 }
 
-std::vector<ServerName> decodeServers(JsonReader &reader, const char *name)
-{
-    std::vector<ServerName> servers;
-    for (const Json::Value &entry : reader.list(name)) {
-        if (entry.isString())
-            servers.emplace_back(entry.asString());
-        else
-            reader.fail();
-    }
-    return servers;
-}
-
 void encodeRights(const RightsReplaced &replaced, Json::Value &json)
 {
     json["rights"] = Json::Value{Json::arrayValue};
@@ -147,9 +136,7 @@
     json["stopReports"] = Json::Value{Json::arrayValue};
     for (const StopReport &report : request.stopReports)
         json["stopReports"].append(encodeReport(report));
-    json["lostServers"] = Json::Value{Json::arrayValue};
-    for (const ServerName &server : request.lostServers)
-        json["lostServers"].append(server.value());
+    json["lostServers"] = jsonOf(request.lostServers);
     return json;
 }
 
@@ -162,7 +149,7 @@
     request.knownVersion = reader.fence("knownVersion");
     request.heldRights = reader.fence("heldRights");
     request.stopReports = decodeList(reader, "stopReports", decodeReport);
-    request.lostServers = decodeServers(reader, "lostServers");
+    request.lostServers = readServerNames(reader, "lostServers");
     if (!reader.isGood())
         return std::nullopt;
     return request;
--- a/src/libbulrushio/version/crashrowcodec.cpp
+++ b/src/libbulrushio/version/crashrowcodec.cpp
@@ -1,6 +1,7 @@
 #include "version/crashrowcodec.h"
 
 #include "process/jsonreader.h"
+#include "process/servernamelist.h"
 
 #include <json/value.h>
 
@@ -10,26 +11,6 @@
 
 namespace {
 
-Json::Value jsonOf(const std::vector<ServerName> &servers)
-{
-    Json::Value json{Json::arrayValue};
-    for (const ServerName &server : servers)
-        json.append(server.value());
-    return json;
-}
-
-std::vector<ServerName> serversOf(JsonReader &reader, const char *name)
-{
-    std::vector<ServerName> servers;
-    for (const Json::Value &entry : reader.list(name)) {
-        if (entry.isString())
-            servers.emplace_back(entry.asString());
-        else
-            reader.fail();
-    }
-    return servers;
-}
-
 RequestFingerprint requestOf(JsonReader &reader)
 {
     const auto request = RequestFingerprint::fromString(reader.text("request"));
@@ -43,7 +24,7 @@
     Json::Value json;
     json["request"] = report.request.toString();
     json["server"] = report.server.value();
-    json["after"] = jsonOf(report.after);
+    json["after"] = io::jsonOf(report.after);
     return json;
 }
 
@@ -51,7 +32,7 @@
 {
     Json::Value json;
     json["request"] = acquittal.request.toString();
-    json["servers"] = jsonOf(acquittal.servers);
+    json["servers"] = io::jsonOf(acquittal.servers);
     return json;
 }
 
@@ -59,7 +40,7 @@
 {
     JsonReader reader{json};
     CrashReport report{requestOf(reader), ServerName{reader.text("server")},
-                       serversOf(reader, "after")};
+                       readServerNames(reader, "after")};
     if (!reader.isGood())
         return std::nullopt;
     return report;
@@ -68,7 +49,7 @@
 std::optional<CrashAcquittal> acquittalOf(const Json::Value &json)
 {
     JsonReader reader{json};
-    CrashAcquittal acquittal{requestOf(reader), serversOf(reader, "servers")};
+    CrashAcquittal acquittal{requestOf(reader), readServerNames(reader, "servers")};
     if (!reader.isGood())
         return std::nullopt;
     return acquittal;
--- a/src/libbulrushio/version/loadsamplecodec.cpp
+++ b/src/libbulrushio/version/loadsamplecodec.cpp
@@ -2,6 +2,7 @@
 
 #include "process/jsonreader.h"
 #include "process/scalartype.h"
+#include "process/servernamelist.h"
 
 #include <json/value.h>
 
@@ -36,10 +37,7 @@
     json["service"] = sample.service.value();
     json["keys"] = std::move(keys);
     json["work"] = std::move(work);
-    Json::Value ended{Json::arrayValue};
-    for (const ServerName &server : sample.ended)
-        ended.append(server.value());
-    json["ended"] = std::move(ended);
+    json["ended"] = io::jsonOf(sample.ended);
     return json;
 }
 
@@ -72,11 +70,7 @@
             return std::nullopt;
         sample.work.push_back(std::move(*work));
     }
-    for (const Json::Value &server : reader.list("ended")) {
-        if (!server.isString())
-            return std::nullopt;
-        sample.ended.emplace_back(server.asString());
-    }
+    sample.ended = readServerNames(reader, "ended");
     if (!reader.isGood())
         return std::nullopt;
     return sample;
--- a/src/libbulrushio/version/renewalcodec.cpp
+++ b/src/libbulrushio/version/renewalcodec.cpp
@@ -2,6 +2,7 @@
 
 #include "process/jsonreader.h"
 #include "process/scalartype.h"
+#include "process/servernamelist.h"
 #include "version/keyassignmentcodec.h"
 
 #include <json/value.h>
@@ -10,16 +11,13 @@
 
 std::string encodeQuestion(const RenewalQuestion &question)
 {
-    Json::Value servers{Json::arrayValue};
-    for (const ServerName &server : question.servers)
-        servers.append(server.value());
     Json::Value json;
     json["service"] = question.service.value();
     if (question.assignment) {
         json["assignment"] = encodeAssignment(*question.assignment);
         json["version"] = Json::UInt64{question.version};
     }
-    json["servers"] = std::move(servers);
+    json["servers"] = jsonOf(question.servers);
     return compactText(json);
 }
 
@@ -35,11 +33,7 @@
         if (!question.assignment || question.assignment->service != question.service)
             return std::nullopt;
     }
-    for (const Json::Value &server : reader.list("servers")) {
-        if (!server.isString())
-            return std::nullopt;
-        question.servers.emplace_back(server.asString());
-    }
+    question.servers = readServerNames(reader, "servers");
     if (!reader.isGood())
         return std::nullopt;
     return question;
