--- a/src/libbulrush/process/routingstate.h
+++ b/src/libbulrush/process/routingstate.h
@@ -18,6 +18,10 @@
 {
     /** Null until a configuration is known. */
     std::shared_ptr<const RouteTable> routes;
+    /** When the control thread took them on. */
+    Instant routesTakenAt;
+    /** Until then the store is known to have held no routes later than those before. */
+    Instant routesUnchangedUntil;
     /** The servers that are not gone, by service. */
     std::map<ServiceName, std::vector<KnownServer>> servers;
     /** Of the services that are divided by key. */
--- a/src/libbulrushentry/entrycounters.cpp
+++ b/src/libbulrushentry/entrycounters.cpp
@@ -56,6 +56,13 @@
     m_oldestKnowledge = std::max(m_oldestKnowledge, age);
 }
 
+void EntryCounters::recordConfigDelay(Duration delay)
+{
+    const std::scoped_lock lock{m_mutex};
+    m_configDelay.record(delay);
+    m_longestConfigDelay = std::max(m_longestConfigDelay, delay);
+}
+
 std::string EntryCounters::text() const
 {
     std::string text;
@@ -68,6 +75,8 @@
     text += quantilesText("bulrush_latency_seconds", m_latency);
     text += quantilesText("bulrush_knowledge_age_seconds", m_knowledgeAge);
     text += "bulrush_knowledge_age_seconds_max " + secondsText(m_oldestKnowledge) + '\n';
+    text += quantilesText("bulrush_config_delay_seconds", m_configDelay);
+    text += "bulrush_config_delay_seconds_max " + secondsText(m_longestConfigDelay) + '\n';
     return text;
 }
 
--- a/src/libbulrushentry/entrycounters.h
+++ b/src/libbulrushentry/entrycounters.h
@@ -40,6 +40,9 @@
     /** Records how old what was known of the backend servers was as one of them was chosen. */
     void recordKnowledgeAge(Duration age);
 
+    /** Records how long after its acknowledgement a configuration came into force, at most. */
+    void recordConfigDelay(Duration delay);
+
     /** \returns all of it as text for a metrics page, a line for each value. */
     std::string text() const;
 
@@ -51,6 +54,8 @@
     LatencyHistogram m_latency;
     LatencyHistogram m_knowledgeAge;
     Duration m_oldestKnowledge{};
+    LatencyHistogram m_configDelay;
+    Duration m_longestConfigDelay{};
 };
 
 } // namespace bulrush
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -30,8 +30,8 @@
 
 /** How often control looks at what is due. */
 constexpr Duration controlInterval = std::chrono::milliseconds{100};
-/** Calls to the store are logged once a second, so that a line is bounded however many they are. */
-constexpr Duration storeCallsInterval = std::chrono::seconds{1};
+/** Calls are logged once a second, so that a line is bounded however many they are. */
+constexpr Duration callsInterval = std::chrono::seconds{1};
 /** How often daemons tell the planner what they saw: hot keys come and go in some seconds. */
 constexpr Duration loadInterval = std::chrono::milliseconds{600};
 constexpr Duration drainInterval = std::chrono::milliseconds{50};
@@ -100,7 +100,10 @@
                  {{"domain", m_settings.domain.value()}, {"store", toString(m_settings.store)}});
     awaitSignal();
     m_store.setCallObserver([this](const platform::StoreCallEnd &call) { m_storeCalls.add(call); });
-    m_timers.every(storeCallsInterval, [this](Instant) { m_storeCalls.log(); });
+    m_timers.every(callsInterval, [this](Instant) {
+        m_storeCalls.log();
+        m_peers.logServed();
+    });
     handOnCrashes();
     m_worker.start();
     m_state.start();
@@ -286,10 +289,11 @@
 
 std::string EntryDaemon::metricsText() const
 {
-    return m_counters.text() + m_storeCalls.text() + "bulrush_log_lines_dropped_total "
-        + std::to_string(io::droppedLogLines()) + "\nbulrush_open_requests "
-        + std::to_string(m_worker.openCount()) + '\n' + m_state.configMetrics(io::hostNow())
-        + "bulrush_planning " + (m_keys.isPlanning() ? "1" : "0") + "\nbulrush_store_reached "
+    return m_counters.text() + m_storeCalls.text() + m_peers.servedText()
+        + "bulrush_log_lines_dropped_total " + std::to_string(io::droppedLogLines())
+        + "\nbulrush_open_requests " + std::to_string(m_worker.openCount()) + '\n'
+        + m_state.configMetrics(io::hostNow()) + "bulrush_planning "
+        + (m_keys.isPlanning() ? "1" : "0") + "\nbulrush_store_reached "
         + (m_keys.isStoreReached() ? "1" : "0") + '\n';
 }
 
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -33,6 +33,8 @@
 
 void ForwardContext::setState(std::shared_ptr<const RoutingState> published)
 {
+    if (state && published->routes && state->routes != published->routes)
+        noteRoutes(*published);
     state = std::move(published);
     retries.setDaemonCount(state->daemonCount);
     gauges.setDaemonCount(state->daemonCount);
@@ -40,6 +42,21 @@
     dispatchSoon();
 }
 
+/** Tells that requests go by other routes from now on, and how late at the most. */
+void ForwardContext::noteRoutes(const RoutingState &published)
+{
+    const Instant now = io::hostNow();
+    // The first routes of a daemon were in force elsewhere before it started.
+    const bool isFirst = !state->routes;
+    const Duration delay = now - published.routesUnchangedUntil;
+    if (!isFirst)
+        counters.recordConfigDelay(delay);
+    io::logEvent(LogLevel::Info, "config-in-force",
+                 {{"version", std::to_string(published.routes->config().version)},
+                  {"handed-ms", io::millisecondsText(now - published.routesTakenAt)},
+                  {"late-ms-at-most", isFirst ? "unknown" : io::millisecondsText(delay)}});
+}
+
 void ForwardContext::setQuarantine(std::shared_ptr<const Quarantine> published)
 {
     quarantine = std::move(published);
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -90,6 +90,7 @@
     void linkChanged(const std::string &run, io::ServerClient::Link link);
     const ServerRecord *findServer(const ServerName &server) const;
     void noteGoneServers();
+    void noteRoutes(const RoutingState &published);
 
     bool m_isDispatchDue = false;
     bool m_isLookDue = false;
--- a/src/libbulrushentry/peerdesk.cpp
+++ b/src/libbulrushentry/peerdesk.cpp
@@ -26,7 +26,7 @@
                    FollowerGroup &group)
     : m_keys(keys)
     , m_state(state)
-    , m_feed(timers, group)
+    , m_feed(timers, group, m_served)
 { }
 
 std::error_code PeerDesk::listen(asio::io_context &loop, const Endpoint &address)
@@ -60,15 +60,22 @@
         return takeLoads(body);
     if (target == grantsPath)
         return takeQuestion(body);
-    if (target.starts_with(rowsPath)) {
-        const auto question = rowsQuestion(target);
-        const TableFollower *asked = question ? follower(question->table) : nullptr;
-        if (asked && asked->hasRows())
-            return jsonPage(encodeRows(asked->rowsSince(question->version, io::hostNow())));
-    }
+    if (target.starts_with(rowsPath))
+        return tellRows(target);
     return io::textPage(notFound, "nothing is known here by that path\n");
 }
 
+io::HttpResponse PeerDesk::tellRows(const std::string &target)
+{
+    const auto question = rowsQuestion(target);
+    const TableFollower *asked = question ? follower(question->table) : nullptr;
+    if (!asked || !asked->hasRows())
+        return io::textPage(notFound, "no rows are known here by that path\n");
+    std::string body = encodeRows(asked->rowsSince(question->version, io::hostNow()));
+    m_served.add(question->table, body.size());
+    return jsonPage(std::move(body));
+}
+
 void PeerDesk::takeFeedQuestion(const std::string &target,
                                 const std::shared_ptr<io::ResponseWriter> &writer)
 {
--- a/src/libbulrushentry/peerdesk.h
+++ b/src/libbulrushentry/peerdesk.h
@@ -3,11 +3,13 @@
 #include "connection/callerserver.h"
 #include "keycontrol.h"
 #include "rowsfeed.h"
+#include "rowsserved.h"
 #include "statepublisher.h"
 
 #include <asio/io_context.hpp>
 
 #include <memory>
+#include <string>
 #include <system_error>
 
 namespace bulrush {
@@ -27,10 +29,17 @@
     /** Listens at \a address. \returns TransportError::ListenFailed if it can't be used. */
     std::error_code listen(asio::io_context &loop, const Endpoint &address);
 
+    /** \returns lines for a metrics page: what other daemons were told. */
+    std::string servedText() const;
+
+    /** Writes a log line of what other daemons were told since the last one. */
+    void logServed();
+
 private:
     void take(const std::shared_ptr<io::IncomingRequest> &request,
               const std::shared_ptr<io::ResponseWriter> &writer);
     io::HttpResponse answer(const std::string &target, const std::string &body);
+    io::HttpResponse tellRows(const std::string &target);
     void takeFeedQuestion(const std::string &target,
                           const std::shared_ptr<io::ResponseWriter> &writer);
     const TableFollower *follower(std::string_view table) const;
@@ -39,8 +48,19 @@
 
     KeyControl &m_keys;
     StatePublisher &m_state;
+    RowsServed m_served;
     RowsFeed m_feed;
     std::unique_ptr<io::CallerServer> m_server;
 };
 
+inline std::string PeerDesk::servedText() const
+{
+    return m_served.text();
+}
+
+inline void PeerDesk::logServed()
+{
+    m_served.log();
+}
+
 } // namespace bulrush
--- a/src/libbulrushentry/rowsfeed.cpp
+++ b/src/libbulrushentry/rowsfeed.cpp
@@ -68,7 +68,8 @@
     return FeedQuestion{std::string{table}, *version, Duration::zero()};
 }
 
-RowsFeed::RowsFeed(io::LoopTimers &timers, FollowerGroup &group)
+RowsFeed::RowsFeed(io::LoopTimers &timers, FollowerGroup &group, RowsServed &served)
+    : m_served(served)
 {
     group.setPublishedHandler([this] { look(io::hostNow()); });
     timers.every(lookEvery, [this](Instant now) { look(now); });
@@ -119,7 +120,9 @@
     std::string &list = encoded[{held.follower, held.question.version}];
     if (list.empty())
         list = encodeRowList(rows);
-    held.writer->send({ok, {{"Content-Type", "application/json"}}, encodeRows(rows, list)});
+    std::string body = encodeRows(rows, list);
+    m_served.add(held.question.table, body.size());
+    held.writer->send({ok, {{"Content-Type", "application/json"}}, std::move(body)});
     return true;
 }
 
--- a/src/libbulrushentry/rowsfeed.h
+++ b/src/libbulrushentry/rowsfeed.h
@@ -2,6 +2,7 @@
 
 #include "connection/responsewriter.h"
 #include "process/looptimers.h"
+#include "rowsserved.h"
 #include "tablefollower.h"
 
 #include <cstdint>
@@ -49,8 +50,8 @@
     /** How often held questions are looked at. */
     static constexpr Duration lookEvery = std::chrono::milliseconds{50};
 
-    /** \pre \a timers and \a group, whose rows are served, outlive this object */
-    RowsFeed(io::LoopTimers &timers, FollowerGroup &group);
+    /** \pre the parts outlive this object; \a group is whose rows are served */
+    RowsFeed(io::LoopTimers &timers, FollowerGroup &group, RowsServed &served);
 
     RowsFeed(const RowsFeed &) = delete;
     RowsFeed &operator=(const RowsFeed &) = delete;
@@ -80,8 +81,9 @@
     void look(Instant now);
     static Instant newsAfter(const FeedQuestion &question, const TableFollower &follower,
                              Instant now);
-    static bool isAnswered(const Held &held, EncodedChanges &encoded, Instant now);
+    bool isAnswered(const Held &held, EncodedChanges &encoded, Instant now);
 
+    RowsServed &m_served;
     std::vector<Held> m_held;
 };
 
--- a/src/libbulrushentry/rowsrelay.cpp
+++ b/src/libbulrushentry/rowsrelay.cpp
@@ -12,6 +12,25 @@
 
 constexpr int ok = 200;
 
+/** Answers as long as this get a log line, as they take time on a narrow link. */
+constexpr std::size_t loggedBytes = 32'000;
+
+/** Tells of an answer that took long or did not come, so that a reader's time can be told. */
+void logAnswer(const FollowQuestion &question, const Endpoint &daemon, const io::HttpResult &result,
+               Instant sentAt)
+{
+    const std::size_t bytes = result.response.body.size();
+    if (!result.error && bytes < loggedBytes)
+        return;
+    io::logEvent(LogLevel::Info, "rows-told",
+                 {{"table", question.table},
+                  {"by", toString(daemon)},
+                  {"version", std::to_string(question.version)},
+                  {"outcome", result.error ? result.error.message() : "answered"},
+                  {"bytes", std::to_string(bytes)},
+                  {"ms", io::millisecondsText(io::hostNow() - sentAt)}});
+}
+
 std::string feedTarget(const FollowQuestion &question, Duration wait)
 {
     std::string target{feedPath};
@@ -29,7 +48,8 @@
     , m_peers(std::move(peers))
 { }
 
-void RowsRelay::send(const Endpoint &daemon, std::string target, Duration timeout, Handler handler)
+void RowsRelay::send(const Endpoint &daemon, const FollowQuestion &question, std::string target,
+                     Duration timeout, Handler handler)
 {
     io::ServerCall call;
     call.server = daemon;
@@ -37,25 +57,29 @@
     call.headers = {{"Host", toString(daemon)}};
     call.timeout = timeout;
     const Instant sentAt = io::hostNow();
-    m_client.send(std::move(call),
-                  [sentAt, handler = std::move(handler)](const io::HttpResult &result) {
-                      FollowAnswer answer{std::nullopt, sentAt, !result.error};
-                      if (!result.error && result.response.status == ok)
-                          answer.rows = decodeRows(result.response.body);
-                      if (answer.rows)
-                          answer.asOf = sentAt - answer.rows->age;
-                      handler(std::move(answer));
-                  });
+    m_client.send(
+        std::move(call),
+        [sentAt, question, daemon, handler = std::move(handler)](const io::HttpResult &result) {
+            logAnswer(question, daemon, result, sentAt);
+            FollowAnswer answer{std::nullopt, sentAt, !result.error};
+            if (!result.error && result.response.status == ok)
+                answer.rows = decodeRows(result.response.body);
+            if (answer.rows)
+                answer.asOf = sentAt - answer.rows->age;
+            handler(std::move(answer));
+        });
 }
 
 void RowsRelay::follow(const Endpoint &reader, const FollowQuestion &question, Handler handler)
 {
-    send(reader, feedTarget(question, followWait), followWait + followSlack, std::move(handler));
+    send(reader, question, feedTarget(question, followWait), followWait + followSlack,
+         std::move(handler));
 }
 
 void RowsRelay::askBeside(const Endpoint &other, const FollowQuestion &question, Handler handler)
 {
-    send(other, feedTarget(question, besideWait), besideWait + followSlack, std::move(handler));
+    send(other, question, feedTarget(question, besideWait), besideWait + followSlack,
+         std::move(handler));
 }
 
 void RowsRelay::ask(const FollowQuestion &question, Handler handler)
@@ -65,7 +89,7 @@
         return;
     std::string target{rowsPath};
     target += question.table + '/' + std::to_string(question.version);
-    send(peers[m_next++ % peers.size()], std::move(target), timeout, std::move(handler));
+    send(peers[m_next++ % peers.size()], question, std::move(target), timeout, std::move(handler));
 }
 
 } // namespace bulrush
--- a/src/libbulrushentry/rowsrelay.h
+++ b/src/libbulrushentry/rowsrelay.h
@@ -67,7 +67,8 @@
     void ask(const FollowQuestion &question, Handler handler);
 
 private:
-    void send(const Endpoint &daemon, std::string target, Duration timeout, Handler handler);
+    void send(const Endpoint &daemon, const FollowQuestion &question, std::string target,
+              Duration timeout, Handler handler);
 
     io::ServerClient &m_client;
     PeersSource m_peers;
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -105,6 +105,7 @@
                        io::millisecondsText(io::hostNow() - change.unchangedUntil)}});
         m_routes = std::make_shared<const RouteTable>(std::move(config));
         m_routesSince = io::hostNow();
+        m_routesUnchangedUntil = change.unchangedUntil;
         publish();
     }
 }
@@ -191,6 +192,8 @@
 {
     auto state = std::make_shared<RoutingState>();
     state->routes = m_routes;
+    state->routesTakenAt = m_routesSince;
+    state->routesUnchangedUntil = m_routesUnchangedUntil;
     state->assignments = m_assignments;
     state->daemonCount = m_daemonCount;
     for (const auto &[id, server] : m_directory.servers()) {
--- a/src/libbulrushentry/statepublisher.h
+++ b/src/libbulrushentry/statepublisher.h
@@ -81,6 +81,8 @@
     std::shared_ptr<const RouteTable> m_routes;
     /** When they came into force. */
     Instant m_routesSince;
+    /** Until then the store is known to have held none later than those before. */
+    Instant m_routesUnchangedUntil;
     std::map<ServiceName, std::shared_ptr<const KeyAssignment>> m_assignments;
     std::size_t m_daemonCount = 0;
     bool m_hasServers = false;
