--- /dev/null
+++ b/tests/entryfleet/domainfleet.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "entryfleet/entryfleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace bulrush::test {
+
+/** Daemons of one failure domain, of which one reads the store for all, with the usual servers. */
+struct DomainFleet : EntryFleet
+{
+    explicit DomainFleet(std::vector<std::string> daemons = {"a1", "a2", "a3"})
+        : EntryFleet(daemons)
+        , hosts(std::move(daemons))
+    {
+        writeConfig();
+        startServers();
+        startDaemons();
+        awaitServing();
+        // The planner settles, and all choose their reader.
+        std::this_thread::sleep_for(std::chrono::seconds{3});
+    }
+
+    std::map<std::string, std::uint64_t> callsWithin(std::chrono::milliseconds span)
+    {
+        std::map<std::string, std::uint64_t> calls;
+        for (const std::string &host : hosts)
+            calls[host] = storeCalls(host);
+        std::this_thread::sleep_for(span);
+        for (const std::string &host : hosts)
+            calls[host] = storeCalls(host) - calls[host];
+        return calls;
+    }
+
+    /** \returns the host that calls the store most. */
+    std::string reader()
+    {
+        const auto calls = callsWithin(std::chrono::seconds{4});
+        return std::ranges::max_element(calls, {}, [](const auto &entry) { return entry.second; })
+            ->first;
+    }
+
+    /** \returns whether \a host goes by the configuration that was written last. */
+    bool isConfigInForce(const std::string &host)
+    {
+        return counter(host, "bulrush_config_version") == configVersion();
+    }
+
+    std::vector<std::string> hosts;
+};
+
+} // namespace bulrush::test
--- a/tests/entryfleet/test_entryleaves.cpp
+++ b/tests/entryfleet/test_entryleaves.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE EntryLeaves
 
-#include "entryfleet/entryfleet.h"
+#include "entryfleet/domainfleet.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -32,32 +32,11 @@
 /** How long after its word a server may still get requests, where the settings say nothing. */
 constexpr auto bound = 2s;
 
-/** Six daemons of one failure domain, of which one reads the store for all. */
-struct DomainFleet : EntryFleet
+struct LeavingFleet : DomainFleet
 {
-    DomainFleet()
-        : EntryFleet({"a1", "a2", "a3", "a4", "a5", "a6"})
-    {
-        writeConfig();
-        startServers();
-        startDaemons();
-        awaitServing();
-        // The planner settles, and all choose their reader.
-        std::this_thread::sleep_for(3s);
-    }
-
-    /** \returns the host that calls the store most. */
-    std::string reader()
-    {
-        std::map<std::string, std::uint64_t> calls;
-        for (const std::string &host : hosts)
-            calls[host] = storeCalls(host);
-        std::this_thread::sleep_for(4s);
-        for (const std::string &host : hosts)
-            calls[host] = storeCalls(host) - calls[host];
-        return std::ranges::max_element(calls, {}, [](const auto &entry) { return entry.second; })
-            ->first;
-    }
+    LeavingFleet()
+        : DomainFleet({"a1", "a2", "a3", "a4", "a5", "a6"})
+    { }
 
     /** Has \a server, and the owner of key 0, tell that they leave. */
     void leave(const std::string &server)
@@ -101,7 +80,6 @@
         BOOST_TEST(lastWorkAt(owner) <= latest);
     }
 
-    std::vector<std::string> hosts{"a1", "a2", "a3", "a4", "a5", "a6"};
     std::string owner;
     Clock::time_point told;
 };
@@ -109,7 +87,7 @@
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(aLeavingServerIsLeftInTimeThoughTheReaderLosesTheStoreAndFreezes,
-                        DomainFleet)
+                        LeavingFleet)
 {
     const std::string cut = reader();
     // The reader has an answer of the store right before it is cut off.
@@ -124,7 +102,7 @@
     daemon(cut).resume();
 }
 
-BOOST_FIXTURE_TEST_CASE(aLeavingServerIsLeftInTimeThoughTheAnswerToAWaitWasLost, DomainFleet)
+BOOST_FIXTURE_TEST_CASE(aLeavingServerIsLeftInTimeThoughTheAnswerToAWaitWasLost, LeavingFleet)
 {
     const std::string deaf = reader();
     // After a change the reader waits anew; the answer to that wait is the one that is lost.
@@ -138,7 +116,7 @@
     requireLeftAlone("p1");
 }
 
-BOOST_FIXTURE_TEST_CASE(callersAreServedOnWhatIsKnownWhileTheStoreAnswersNobody, DomainFleet)
+BOOST_FIXTURE_TEST_CASE(callersAreServedOnWhatIsKnownWhileTheStoreAnswersNobody, LeavingFleet)
 {
     // Knowledge that can't be renewed is no reason to serve nobody.
     setStoreFault("*", "silent");
--- a/tests/entryfleet/test_entryreaders.cpp
+++ b/tests/entryfleet/test_entryreaders.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE EntryReaders
 
-#include "entryfleet/entryfleet.h"
+#include "entryfleet/domainfleet.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -18,42 +18,8 @@
 
 namespace {
 
-const std::vector<std::string> hosts{"a1", "a2", "a3"};
-constexpr const char *versionInForce = "bulrush_config_version";
-
-/** Three daemons of one failure domain; one of them reads the store for all. */
-struct DomainFleet : EntryFleet
+struct ReaderFleet : DomainFleet
 {
-    DomainFleet()
-        : EntryFleet(hosts)
-    {
-        writeConfig();
-        startServers();
-        startDaemons();
-        awaitServing();
-        // The planner settles, and all choose their reader.
-        std::this_thread::sleep_for(3s);
-    }
-
-    std::map<std::string, std::uint64_t> callsWithin(std::chrono::milliseconds span)
-    {
-        std::map<std::string, std::uint64_t> calls;
-        for (const std::string &host : hosts)
-            calls[host] = storeCalls(host);
-        std::this_thread::sleep_for(span);
-        for (const std::string &host : hosts)
-            calls[host] = storeCalls(host) - calls[host];
-        return calls;
-    }
-
-    /** \returns the host that calls the store most. */
-    std::string reader()
-    {
-        const auto calls = callsWithin(4s);
-        return std::ranges::max_element(calls, {}, [](const auto &entry) { return entry.second; })
-            ->first;
-    }
-
     /** Checks that all but \a lost follow a new configuration within two seconds. */
     void requireFollowed(const std::string &lost)
     {
@@ -62,8 +28,7 @@
         for (const std::string &host : hosts) {
             if (host == lost)
                 continue;
-            BOOST_TEST(
-                eventually([&] { return counter(host, versionInForce) == configVersion(); }));
+            BOOST_TEST(eventually([&] { return isConfigInForce(host); }));
         }
         const auto took = Clock::now() - written;
         BOOST_TEST((took < 2s), "took " << std::chrono::duration<double>(took).count() << " s");
@@ -72,7 +37,7 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_CASE(oneDaemonOfADomainReadsForAll, DomainFleet)
+BOOST_FIXTURE_TEST_CASE(oneDaemonOfADomainReadsForAll, ReaderFleet)
 {
     const auto calls = callsWithin(8s);
     int readers = 0;
@@ -87,7 +52,7 @@
     requireFollowed("");
 }
 
-BOOST_FIXTURE_TEST_CASE(changesAreFollowedInTimeWhileTheReaderIsFrozen, DomainFleet)
+BOOST_FIXTURE_TEST_CASE(changesAreFollowedInTimeWhileTheReaderIsFrozen, ReaderFleet)
 {
     const std::string frozen = reader();
     daemon(frozen).stop();
@@ -96,7 +61,7 @@
     requireFollowed("");
 }
 
-BOOST_FIXTURE_TEST_CASE(changesAreFollowedInTimeWhileTheReaderReachesNoStore, DomainFleet)
+BOOST_FIXTURE_TEST_CASE(changesAreFollowedInTimeWhileTheReaderReachesNoStore, ReaderFleet)
 {
     for (const std::string mode : {"silent", "busy"}) {
         const std::string cut = reader();
@@ -108,7 +73,7 @@
     }
 }
 
-BOOST_FIXTURE_TEST_CASE(anotherReadsOnceTheReaderIsLost, DomainFleet)
+BOOST_FIXTURE_TEST_CASE(anotherReadsOnceTheReaderIsLost, ReaderFleet)
 {
     const std::string lost = reader();
     daemon(lost).kill();
@@ -124,7 +89,7 @@
     requireFollowed("");
 }
 
-BOOST_FIXTURE_TEST_CASE(daemonsWhoseRowsAreRemovedWriteThemAnewAndFollowOn, DomainFleet)
+BOOST_FIXTURE_TEST_CASE(daemonsWhoseRowsAreRemovedWriteThemAnewAndFollowOn, ReaderFleet)
 {
     const std::string reading = reader();
     for (const std::string &host : hosts)
@@ -144,7 +109,7 @@
         BOOST_TEST(counter(host, written) >= 2);
 }
 
-BOOST_FIXTURE_TEST_CASE(aServerThatDrainsIsLeftInTimeByThoseWhoFollowTheReader, DomainFleet)
+BOOST_FIXTURE_TEST_CASE(aServerThatDrainsIsLeftInTimeByThoseWhoFollowTheReader, ReaderFleet)
 {
     writeRecord("p1", "draining");
     const auto told = Clock::now();
--- a/tests/rowsworld/rowsworld.cpp
+++ b/tests/rowsworld/rowsworld.cpp
@@ -1,6 +1,7 @@
 #include "rowsworld.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace bulrush::test {
@@ -22,6 +23,17 @@
 constexpr Duration troubledWait = 1s;
 constexpr Duration troubled = 10s;
 constexpr Duration registerAgain = 500ms;
+/** How often bytes on links are moved on. */
+constexpr Duration transferStep = 10ms;
+/** The store's answers have rows in base64. */
+constexpr double storeLength = 4.0 / 3.0;
+/** In place of a daemon's index: the store, whose link is wide. */
+constexpr std::size_t storeIndex = std::numeric_limits<std::size_t>::max();
+
+std::size_t storeBytes(std::size_t bytes)
+{
+    return static_cast<std::size_t>(static_cast<double>(bytes) * storeLength);
+}
 
 } // namespace
 
@@ -56,12 +68,24 @@
     Instant newsAfter;
 };
 
+/** An answer on its way. */
+struct RowsWorld::Transfer
+{
+    std::size_t from = 0;
+    std::size_t to = 0;
+    double bytesLeft = 0.0;
+    Step arrived;
+    /** Whether it is still waited for. */
+    std::shared_ptr<const bool> isOpen;
+};
+
 struct RowsWorld::Daemon
 {
     std::size_t index = 0;
     HostName host;
     DomainName domain;
     double processors = 0.0;
+    double bytesPerSecond = 0.0;
     /** Counts starts. */
     std::uint64_t life = 0;
     bool isUp = false;
@@ -80,6 +104,7 @@
 
 RowsWorld::RowsWorld(const RowsScenario &scenario)
     : m_random(scenario.seed)
+    , m_configBytes(scenario.configBytes)
 {
     for (std::size_t i = 0; i < scenario.domains * scenario.daemonsPerDomain; ++i) {
         auto daemon = std::make_unique<Daemon>();
@@ -88,7 +113,11 @@
         daemon->domain = DomainName{"domain-" + std::to_string(i % scenario.domains)};
         // Strong ones are in no special place of the order in which they start.
         const std::size_t place = scenario.daemonsPerDomain - 1 - i / scenario.domains;
-        daemon->processors = place < scenario.strongPerDomain ? strongProcessors : weakProcessors;
+        const bool isStrong = place < scenario.strongPerDomain;
+        daemon->processors = isStrong ? strongProcessors : weakProcessors;
+        constexpr double bytesPerMegabit = 1e6 / 8;
+        daemon->bytesPerSecond = bytesPerMegabit
+            * (isStrong ? scenario.strongMegabitsPerSecond : scenario.weakMegabitsPerSecond);
         m_daemons.push_back(std::move(daemon));
         const auto spanMs = static_cast<std::uint64_t>(scenario.startSpan / 1ms);
         after(1ms * (m_random() % spanMs), [this, i] { start(i); });
@@ -120,6 +149,59 @@
     });
 }
 
+/** \returns the bytes of rows that were written after \a known and up to \a told. */
+std::size_t RowsWorld::bytesOf(std::size_t table, std::uint64_t known, std::uint64_t told) const
+{
+    const bool isSent =
+        table == Config && std::ranges::any_of(m_configVersions, [=](std::uint64_t version) {
+            return version > known && version <= told;
+        });
+    return isSent ? m_configBytes : 0;
+}
+
+/** Has \a arrived called once \a bytes have gone over both links. */
+void RowsWorld::transfer(std::size_t from, std::size_t to, std::size_t bytes, Step arrived,
+                         std::shared_ptr<const bool> isOpen)
+{
+    if (from != storeIndex)
+        m_relayedBytes += bytes;
+    if (bytes == 0) {
+        after(transit(), std::move(arrived));
+        return;
+    }
+    m_transfers.push_back(
+        {from, to, static_cast<double>(bytes), std::move(arrived), std::move(isOpen)});
+    if (m_transfers.size() == 1)
+        after(transferStep, [this] { moveBytes(); });
+}
+
+/** Moves all bytes on: what is on one link shares it evenly. */
+void RowsWorld::moveBytes()
+{
+    std::erase_if(m_transfers, [](const Transfer &moving) { return !*moving.isOpen; });
+    std::map<std::size_t, double> sending;
+    std::map<std::size_t, double> receiving;
+    for (const Transfer &moving : m_transfers) {
+        ++sending[moving.from];
+        ++receiving[moving.to];
+    }
+    const double seconds = std::chrono::duration<double>(transferStep).count();
+    std::vector<Step> arrived;
+    for (Transfer &moving : m_transfers) {
+        double rate = m_daemons[moving.to]->bytesPerSecond / receiving[moving.to];
+        if (moving.from != storeIndex)
+            rate = std::min(rate, m_daemons[moving.from]->bytesPerSecond / sending[moving.from]);
+        moving.bytesLeft -= rate * seconds;
+        if (moving.bytesLeft <= 0.0)
+            arrived.push_back(moving.arrived);
+    }
+    std::erase_if(m_transfers, [](const Transfer &moving) { return moving.bytesLeft <= 0.0; });
+    for (Step &step : arrived)
+        after(transit(), std::move(step));
+    if (!m_transfers.empty())
+        after(transferStep, [this] { moveBytes(); });
+}
+
 Duration RowsWorld::transit()
 {
     return 1ms + 1us * (m_random() % 1000);
@@ -208,6 +290,7 @@
         return;
     }
     const std::uint64_t turn = ++table.turn;
+    const std::uint64_t askedVersion = table.version;
     const auto answer = [=, this] {
         const Instant givenAt = m_now;
         const std::uint64_t version = m_version;
@@ -217,12 +300,16 @@
             after(feedSlack, fail);
             return;
         }
-        after(transit(), [=, this] {
-            if (isSame())
-                handle(index, [=, this] {
-                    storeAnswered(index, tableIndex, givenAt, version, isConfirmation);
-                });
-        });
+        const std::uint64_t known = m_daemons[index]->tables[tableIndex].hasRows ? askedVersion : 0;
+        transfer(
+            storeIndex, index, storeBytes(bytesOf(tableIndex, known, version)),
+            [=, this] {
+                if (isSame())
+                    handle(index, [=, this] {
+                        storeAnswered(index, tableIndex, givenAt, version, isConfirmation);
+                    });
+            },
+            std::make_shared<const bool>(true));
     };
     const bool hasNews = m_versions.at(tableIndex) > table.version || !table.hasRows;
     if (hasNews || wait == Duration::zero()) {
@@ -338,20 +425,21 @@
     Daemon &daemon = *m_daemons[index];
     const Table rows = daemon.tables[held.table];
     const bool isOver = m_now - held.askedAt >= (held.isBeside ? besideWait : followWait);
-    const auto answer = [this, index, held](Step step) {
+    const auto answer = [this, index, held](Step step, std::size_t bytes = 0) {
         // Each answer is work for who gives it as well.
-        handle(index, [this, index, held, step = std::move(step)] {
+        handle(index, [this, index, held, bytes, step = std::move(step)] {
             Daemon &asking = *m_daemons[held.from];
             if (!isReachable(*m_daemons[index], asking))
                 return;
-            after(transit(), [this, held, step] {
+            const auto arrived = [this, held, step] {
                 Daemon &told = *m_daemons[held.from];
                 if (told.isUp && told.life == held.life)
                     handle(held.from, [this, held, step] {
                         if (std::exchange(*held.isOpen, false))
                             step();
                     });
-            });
+            };
+            transfer(index, held.from, bytes, arrived, held.isOpen);
         });
     };
     if (!isServing(daemon) || (isOver && !isFresh(daemon, held.table))) {
@@ -363,9 +451,9 @@
     const bool hasNews = rows.version > held.version || rows.knownAt > held.newsAfter;
     if (!isFresh(daemon, held.table) || (!hasNews && !isOver))
         return false;
-    answer([this, index, held, rows] {
-        readerAnswered(held.from, held.table, index, held.isBeside, rows);
-    });
+    answer([this, index, held,
+            rows] { readerAnswered(held.from, held.table, index, held.isBeside, rows); },
+           bytesOf(held.table, held.version, rows.version));
     return true;
 }
 
@@ -633,6 +721,7 @@
 void RowsWorld::changeConfig()
 {
     m_versions[Config] = ++m_version;
+    m_configVersions.push_back(m_version);
     wakeWaits(Config);
 }
 
@@ -643,4 +732,16 @@
     }));
 }
 
+std::size_t RowsWorld::allBehindCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_daemons, [this](const auto &daemon) {
+        return daemon->isUp && daemon->tables[Config].version < m_versions[Config];
+    }));
+}
+
+std::uint64_t RowsWorld::relayedBytes() const
+{
+    return m_relayedBytes;
+}
+
 } // namespace bulrush::test
--- a/tests/rowsworld/rowsworld.h
+++ b/tests/rowsworld/rowsworld.h
@@ -28,8 +28,12 @@
 {
     std::size_t domains = 5;
     std::size_t daemonsPerDomain = 39;
-    /** Of each failure domain; the others have a fifth of their processors. */
+    /** Of each failure domain; the others have a fifth of their processors and narrower links. */
     std::size_t strongPerDomain = 3;
+    double strongMegabitsPerSecond = 200.0;
+    double weakMegabitsPerSecond = 10.0;
+    /** Of a configuration; all other rows are short. */
+    std::size_t configBytes = 0;
     /** Within which daemons start. */
     Duration startSpan = std::chrono::milliseconds{300};
     std::uint64_t seed = 1;
@@ -38,7 +42,8 @@
 /**
  * Daemons that follow three tables of a store, in virtual time: the decisions are FollowPlan's,
  * whose calls, questions and timers are carried out as TableFollower and RowsFeed do. Each daemon
- * handles one message after the other, at the speed of its host. Counts the calls to the store and
+ * handles one message after the other, at the speed of its host; configurations take time on the
+ * links of hosts, which all that are on their way share. Counts the calls to the store and
  * tells how old what daemons know of the backend servers is. Not thread safe.
  */
 class RowsWorld
@@ -92,6 +97,12 @@
     /** \returns how many daemons that could ask the store don't know the configuration. */
     std::size_t behindCount() const;
 
+    /** \returns how many daemons that are up don't, whether or not they could ask the store. */
+    std::size_t allBehindCount() const;
+
+    /** \returns the bytes of configurations that daemons have begun to send to each other. */
+    std::uint64_t relayedBytes() const;
+
 private:
     static constexpr std::size_t tableCount = 3;
     enum TableIndex { Ownership, Servers, Config };
@@ -99,6 +110,7 @@
     struct Table;
     struct Daemon;
     struct Held;
+    struct Transfer;
     using Step = std::function<void()>;
 
     void after(Duration delay, Step step);
@@ -125,6 +137,10 @@
     void showRows(std::size_t index);
     void wakeWaits(std::size_t table);
     bool isFresh(const Daemon &daemon, std::size_t table) const;
+    std::size_t bytesOf(std::size_t table, std::uint64_t known, std::uint64_t told) const;
+    void transfer(std::size_t from, std::size_t to, std::size_t bytes, Step arrived,
+                  std::shared_ptr<const bool> isOpen);
+    void moveBytes();
     bool isServing(const Daemon &daemon) const;
     bool isReachable(const Daemon &from, const Daemon &to) const;
     bool couldAskStore(const Daemon &daemon) const;
@@ -147,6 +163,11 @@
     std::vector<Row> m_rows;
     std::uint64_t m_calls = 0;
     Duration m_oldest{};
+    std::size_t m_configBytes;
+    /** Versions of the store that wrote a configuration. */
+    std::vector<std::uint64_t> m_configVersions;
+    std::list<Transfer> m_transfers;
+    std::uint64_t m_relayedBytes = 0;
 };
 
 } // namespace bulrush::test
