Doubt configurations by their age, as servers are

What callers saw: hosts that the store answered all the while refused routes, or handled requests, by a configuration that had been replaced 2.6 s and more before. Cause: a follower took any source's word that nothing had changed, however old that was, and nobody asked the store itself; a lost answer hid a configuration for 10.9 s. ConfigBudget shares the bound out over all hops, from the store's acknowledgement on: who reads the store asks again after 0.4 of it without word, others are asked at 0.65 and the store at 0.75. A route that isn't known is refused as not run (503), not with 404, by knowledge older than the bound. A store's answer about any table tells the version that all tables share, so most confirmations cost nothing, and waits of the ownership table are long again. The short waits after a failed call are gone: the age replaces them. A table whose turn never comes while the store fails is lost, too, and asks other daemons.

--- a/src/libbulrush/process/entrysettings.h
+++ b/src/libbulrush/process/entrysettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/configbudget.h"
 #include "process/daemonsettings.h"
 #include "process/drainbudget.h"
 #include "process/endpoint.h"
@@ -29,6 +30,8 @@
     Duration drainTime = std::chrono::milliseconds{5500};
     /** How long after its word a backend server that leaves may still get requests. */
     Duration serverDrain = DrainBudget::shortestBound;
+    /** How long after its acknowledgement a configuration is in force at the latest. */
+    Duration configInForce = ConfigBudget::shortestBound;
     CallerLimits limits;
     /** What the host has of processors, in cores. */
     double processors = 1.0;
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -66,11 +66,12 @@
     , m_worker(m_settings, m_counters)
     , m_plan(m_settings.host, m_settings.domain, io::hostNow())
     , m_state(
-          followParts(), DrainBudget{m_settings.serverDrain},
+          followParts(),
+          {DrainBudget{m_settings.serverDrain}, ConfigBudget{m_settings.configInForce}},
           [this](std::shared_ptr<const RoutingState> state) {
               m_worker.setState(std::move(state));
           },
-          [this](const ServerKnowledge &knowledge) { m_worker.setKnowledge(knowledge); })
+          [this](const RoutingKnowledge &knowledge) { m_worker.setKnowledge(knowledge); })
     , m_keys({followParts(), m_client, m_state},
              {m_settings.host, newIncarnation(m_settings.host), m_settings.domain, m_settings.peers,
               patienceOf(m_settings), m_settings.processors})
--- a/src/libbulrushentry/followergroup.cpp
+++ b/src/libbulrushentry/followergroup.cpp
@@ -31,25 +31,16 @@
     }
 }
 
-void FollowerGroup::confirmAll()
+void FollowerGroup::noteStoreVersion(std::uint64_t version, Instant givenAt)
 {
     for (TableFollower *follower : m_followers)
-        follower->confirm();
+        follower->noteStoreVersion(version, givenAt);
 }
 
-void FollowerGroup::noteTrouble(Instant now)
+bool FollowerGroup::isConfirming(Instant now) const
 {
-    const bool isNews = !isTroubled(now);
-    m_troubledAt = now;
-    if (!isNews)
-        return;
-    for (TableFollower *follower : m_followers)
-        follower->shortenWait();
-}
-
-bool FollowerGroup::isTroubled(Instant now) const
-{
-    return m_troubledAt && now - *m_troubledAt < TableFollower::troubled;
+    return std::ranges::any_of(
+        m_followers, [now](const TableFollower *follower) { return follower->isConfirming(now); });
 }
 
 bool FollowerGroup::isServing() const
--- a/src/libbulrushentry/followergroup.h
+++ b/src/libbulrushentry/followergroup.h
@@ -2,8 +2,8 @@
 
 #include "process/clock.h"
 
+#include <cstdint>
 #include <functional>
-#include <optional>
 #include <vector>
 
 namespace bulrush {
@@ -34,14 +34,11 @@
     /** Has all but \a witness, whose call got no answer, ask the store anew. */
     void storeSilent(const TableFollower &witness);
 
-    /** Has all ask the store whether what they know still holds. */
-    void confirmAll();
+    /** Tells all that the store was at \a version, which all tables share, at \a givenAt. */
+    void noteStoreVersion(std::uint64_t version, Instant givenAt);
 
-    /** Notes that a call to the store failed, or got no answer; long waits may have, too. */
-    void noteTrouble(Instant now);
-
-    /** \returns whether a call to the store failed lately. */
-    bool isTroubled(Instant now) const;
+    /** \returns whether one of them asks the store if what it knows still holds. */
+    bool isConfirming(Instant now) const;
 
     /** \returns whether all of them have somebody who tells them of rows. */
     bool isServing() const;
@@ -49,7 +46,6 @@
 private:
     std::vector<TableFollower *> m_followers;
     PublishedHandler m_published;
-    std::optional<Instant> m_troubledAt;
 };
 
 } // namespace bulrush
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -26,6 +26,7 @@
     , picker(gauges, settings.domain, DrainBudget{settings.serverDrain})
     , queue(picker)
     , retries(settings.retries)
+    , m_configBudget(settings.configInForce)
 {
     servers.setLinkHandler(
         [this](const std::string &run, io::ServerClient::Link link) { linkChanged(run, link); });
@@ -120,13 +121,19 @@
     }
 }
 
-void ForwardContext::setKnowledge(const ServerKnowledge &knowledge)
+void ForwardContext::setKnowledge(const RoutingKnowledge &knowledge)
 {
-    picker.setKnowledge(knowledge);
+    m_configAsOf = knowledge.configAsOf;
+    picker.setKnowledge(knowledge.servers);
     if (queue.size() > 0)
         dispatchSoon();
 }
 
+bool ForwardContext::isConfigInDoubt(Instant now) const
+{
+    return now - m_configAsOf > m_configBudget.doubtAfter();
+}
+
 void ForwardContext::dispatch(Instant now)
 {
     if (!state || queue.size() == 0)
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -7,6 +7,7 @@
 #include "process/looptimers.h"
 #include "process/quarantine.h"
 #include "process/retrybudgets.h"
+#include "process/routingknowledge.h"
 #include "process/routingstate.h"
 #include "process/servergauges.h"
 #include "request/requestqueue.h"
@@ -77,8 +78,11 @@
     /** Notes that the run \a server has ended, by what shows it, and reports what it was at. */
     void serverEnded(const ServerName &server, std::string_view sign);
 
-    /** Takes in how far the published servers can be relied on. */
-    void setKnowledge(const ServerKnowledge &knowledge);
+    /** Takes in how far what was published can be relied on. */
+    void setKnowledge(const RoutingKnowledge &knowledge);
+
+    /** \returns whether a later configuration may be in force elsewhere. */
+    bool isConfigInDoubt(Instant now) const;
 
     /** Sends what may be sent, and refuses what can't be served any more. */
     void dispatch(Instant now);
@@ -92,6 +96,9 @@
     void noteGoneServers();
     void noteRoutes(const RoutingState &published);
 
+    ConfigBudget m_configBudget;
+    /** At that instant the store held no later configuration. */
+    Instant m_configAsOf;
     bool m_isDispatchDue = false;
     bool m_isLookDue = false;
 };
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -96,7 +96,11 @@
     const io::HttpHeader *host = io::findField(m_request->head().headers, "Host");
     m_route = m_routes->find(host ? host->value : std::string{}, m_request->head().target);
     if (!m_route) {
-        reject(notFound, "no-route");
+        // The route may have been added since: that the request did not run is all that is known.
+        if (m_context.isConfigInDoubt(m_startedAt))
+            refuseNotRun("configuration-in-doubt");
+        else
+            reject(notFound, "no-route");
         return false;
     }
     m_service = serviceOf(*m_route, hash());
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -63,7 +63,7 @@
     });
 }
 
-void ForwardWorker::setKnowledge(const ServerKnowledge &knowledge)
+void ForwardWorker::setKnowledge(const RoutingKnowledge &knowledge)
 {
     asio::post(m_loop, [this, knowledge] { m_context.setKnowledge(knowledge); });
 }
--- a/src/libbulrushentry/forwardworker.h
+++ b/src/libbulrushentry/forwardworker.h
@@ -46,8 +46,8 @@
     /** Hands the thread what it routes by from now on. Thread safe. */
     void setState(std::shared_ptr<const RoutingState> state);
 
-    /** Hands the thread how far the servers it knows can be relied on. Thread safe. */
-    void setKnowledge(const ServerKnowledge &knowledge);
+    /** Hands the thread how far what it routes by can be relied on. Thread safe. */
+    void setKnowledge(const RoutingKnowledge &knowledge);
 
     /** Hands the thread what part of the requests for hot keys to let in. Thread safe. */
     void setKeyShares(std::vector<KeyShares> shares);
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -22,12 +22,12 @@
 constexpr std::string_view daemonPrefix = "daemon/";
 
 /**
- * The wait bounds how old the last answer of the store may get while all is well: well below the
- * time that the right to renew lasts, and TableFollower::longestSilence, after which a daemon that
- * others follow rows through is taken to be cut off. What is committed within the pause comes in
- * one answer.
+ * A change ends the wait. Confirmations bound how old the last answer of the store may get while
+ * all is well: well below the time that the right to renew lasts. What is committed within the
+ * pause comes in one answer.
  */
-constexpr FollowPace rowsPace{std::chrono::milliseconds{1000}, std::chrono::milliseconds{100}};
+constexpr FollowPace rowsPace{std::chrono::seconds{10}, std::chrono::milliseconds{100},
+                              std::chrono::milliseconds{1000}};
 
 /** Servers that no connection came about to are tried again after this. */
 constexpr Duration connectEvery = std::chrono::milliseconds{250};
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -12,27 +12,31 @@
 
 namespace {
 
-/**
- * Changes come at once; the wait only bounds how often a quiet table is asked for. Connections that
- * have died are noticed by probes.
- */
-constexpr FollowPace configPace{std::chrono::seconds{10}, {}};
+/** Changes come at once, and seldom: confirmations bound for how long a lost answer hides one. */
+FollowPace configPace(const ConfigBudget &budget)
+{
+    constexpr Duration wait = std::chrono::seconds{10};
+    return {wait,
+            {},
+            budget.readerConfirmAfter(),
+            Confirmation{budget.askBesideAfter(), budget.confirmAfter(), budget.confirmWithin()}};
+}
 
 /** Servers that start write often, and one that leaves is to be heard of in time. */
 FollowPace serverPace(const DrainBudget &budget)
 {
-    return {budget.readerWait(), budget.readerPause(),
+    return {budget.readerWait(), budget.readerPause(), budget.askBesideAfter(),
             Confirmation{budget.askBesideAfter(), budget.confirmAfter(), budget.confirmWithin()}};
 }
 
 } // namespace
 
-StatePublisher::StatePublisher(const FollowParts &parts, const DrainBudget &budget,
+StatePublisher::StatePublisher(const FollowParts &parts, const Budgets &budgets,
                                PublishHandler publish, KnowledgeHandler tellKnowledge)
     : m_publish(std::move(publish))
     , m_tellKnowledge(std::move(tellKnowledge))
-    , m_configs(parts, std::string{platform::operatorTable}, configPace)
-    , m_servers(parts, std::string{platform::serverTable}, serverPace(budget))
+    , m_configs(parts, std::string{platform::operatorTable}, configPace(budgets.configs))
+    , m_servers(parts, std::string{platform::serverTable}, serverPace(budgets.servers))
 { }
 
 const TableFollower *StatePublisher::follower(std::string_view table) const
@@ -49,7 +53,8 @@
 
 void StatePublisher::start()
 {
-    m_configs.start([this](const TableChange &change) { takeConfig(change); }, [](Instant) {});
+    m_configs.start([this](const TableChange &change) { takeConfig(change); },
+                    [this](Instant) { tellKnowledge(); });
     m_servers.start([this](const TableChange &change) { takeServers(change); },
                     [this](Instant) { tellKnowledge(); });
 }
@@ -177,13 +182,15 @@
 
 void StatePublisher::tellKnowledge()
 {
-    const ServerKnowledge knowledge{m_servers.knownAt(), m_servers.isStoreAway()};
+    const RoutingKnowledge knowledge{{m_servers.knownAt(), m_servers.isStoreAway()},
+                                     m_configs.knownAt()};
     if (knowledge == m_knowledge)
         return;
-    if (knowledge.isStoreAway != m_knowledge.isStoreAway)
+    const ServerKnowledge &servers = knowledge.servers;
+    if (servers.isStoreAway != m_knowledge.servers.isStoreAway)
         io::logEvent(LogLevel::Info, "servers-confirmable",
-                     {{"by", knowledge.isStoreAway ? "nobody" : m_servers.source()},
-                      {"age-ms", io::millisecondsText(io::hostNow() - knowledge.asOf)}});
+                     {{"by", servers.isStoreAway ? "nobody" : m_servers.source()},
+                      {"age-ms", io::millisecondsText(io::hostNow() - servers.asOf)}});
     m_knowledge = knowledge;
     m_tellKnowledge(knowledge);
 }
--- a/src/libbulrushentry/statepublisher.h
+++ b/src/libbulrushentry/statepublisher.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "process/configbudget.h"
 #include "process/drainbudget.h"
+#include "process/routingknowledge.h"
 #include "process/routingstate.h"
 #include "process/serverdirectory.h"
-#include "process/serverknowledge.h"
 #include "tablefollower.h"
 
 #include <functional>
@@ -23,10 +24,17 @@
 public:
     using PublishHandler = std::function<void(std::shared_ptr<const RoutingState>)>;
 
-    /** Told how far the servers that were published last can be relied on. */
-    using KnowledgeHandler = std::function<void(const ServerKnowledge &)>;
+    /** Told how far what was published last can be relied on. */
+    using KnowledgeHandler = std::function<void(const RoutingKnowledge &)>;
 
-    StatePublisher(const FollowParts &parts, const DrainBudget &budget, PublishHandler publish,
+    /** Within which changes are to be known. */
+    struct Budgets
+    {
+        DrainBudget servers;
+        ConfigBudget configs;
+    };
+
+    StatePublisher(const FollowParts &parts, const Budgets &budgets, PublishHandler publish,
                    KnowledgeHandler tellKnowledge);
 
     /** Sets who is told whenever servers were taken in. */
@@ -74,7 +82,7 @@
     PublishHandler m_publish;
     KnowledgeHandler m_tellKnowledge;
     std::function<void()> m_serversTaken;
-    ServerKnowledge m_knowledge;
+    RoutingKnowledge m_knowledge;
     TableFollower m_configs;
     TableFollower m_servers;
     ServerDirectory m_directory;
--- a/src/libbulrushentry/tablefollower.cpp
+++ b/src/libbulrushentry/tablefollower.cpp
@@ -38,8 +38,7 @@
 {
     m_changed = std::move(changed);
     m_answered = std::move(answered);
-    if (m_pace.confirmation)
-        m_parts.timers.every(lookEvery, [this](Instant now) { look(now); });
+    m_parts.timers.every(lookEvery, [this](Instant now) { look(now); });
 }
 
 void TableFollower::next()
@@ -51,6 +50,8 @@
 
 void TableFollower::carryOut(const AskLater &step)
 {
+    if (m_parts.plan.isStoreFailing())
+        noteLost("nobody has rows to tell");
     m_parts.timers.after(step.after, [this](Instant) { next(); });
 }
 
@@ -90,19 +91,14 @@
     // Where the store is tried, or others wait for what this daemon is to read, an answer is wanted
     // at once.
     const bool isUrgent = std::exchange(m_isFirstAtStore, false) || m_parts.plan.isStoreFailing();
-    m_waitSpan = isUrgent ? Duration::zero() : storeWait(sentAt);
-    m_wait = m_parts.store.follow(m_table, m_version, m_waitSpan,
+    const Duration wait = isUrgent ? Duration::zero() : m_pace.wait;
+    m_wait = m_parts.store.follow(m_table, m_version, wait,
                                   [this, sentAt](platform::RowsOutcome outcome) {
                                       m_wait.reset();
                                       taken(std::move(outcome), false, sentAt);
                                   });
 }
 
-Duration TableFollower::storeWait(Instant now) const
-{
-    return m_parts.group.isTroubled(now) ? std::min(m_pace.wait, troubledWait) : m_pace.wait;
-}
-
 void TableFollower::takenFromReader(const RowsReader &reader, FollowAnswer answer)
 {
     if (!answer.rows) {
@@ -231,6 +227,7 @@
     remember(outcome, isWhole, isAfterOutage);
     if (isWhole || !outcome.rows.empty())
         m_changed({std::move(outcome.rows), m_version, isWhole, isAfterOutage, unchangedUntil});
+    m_parts.group.noteStoreVersion(outcome.version, givenAt);
     return givenAt;
 }
 
@@ -244,15 +241,19 @@
     if (!m_hasRows || m_isFailing || m_isLookSkipped)
         return;
     const Duration age = now - m_knownAt;
+    if (m_source == storeSource && age >= m_pace.confirmAfter && !m_confirmingSince)
+        confirmAtStore(now);
+    if (!m_pace.confirmation)
+        return;
     if (m_confirmingSince) {
         const bool isLate = now - *m_confirmingSince >= m_pace.confirmation->within;
         if (isLate && age >= m_pace.confirmation->after)
             m_isUnconfirmed = true;
         return;
     }
-    if (age < m_pace.confirmation->askBesideAfter)
+    if (m_source == storeSource || age < m_pace.confirmation->askBesideAfter)
         return;
-    const bool isAskingOthers = m_source != storeSource && askBeside(now);
+    const bool isAskingOthers = askBeside(now);
     if (!isAskingOthers || age >= m_pace.confirmation->after)
         confirmAtStore(now);
 }
@@ -283,15 +284,28 @@
         m_isUnconfirmed = true;
         return;
     }
-    io::logEvent(LogLevel::Warning, "rows-old",
-                 {{"table", m_table},
-                  {"source", m_source},
-                  {"age-ms", io::millisecondsText(now - m_knownAt)}});
-    // A reader's silence shows with each table; the store's may hide behind a wait of ten seconds.
-    if (m_source == storeSource)
-        m_parts.group.confirmAll();
-    else
-        confirm();
+    // A store that is silent is silent about all tables: one call finds out.
+    if (m_parts.group.isConfirming(now))
+        return;
+    const Duration age = now - m_knownAt;
+    if (m_pace.confirmation && age >= m_pace.confirmation->askBesideAfter)
+        io::logEvent(
+            LogLevel::Warning, "rows-old",
+            {{"table", m_table}, {"source", m_source}, {"age-ms", io::millisecondsText(age)}});
+    confirm();
+}
+
+bool TableFollower::isConfirming(Instant now) const
+{
+    return m_confirmingSince && now - *m_confirmingSince < confirmPatience;
+}
+
+void TableFollower::noteStoreVersion(std::uint64_t version, Instant givenAt)
+{
+    if (!m_hasRows || version != m_version || givenAt <= m_knownAt)
+        return;
+    noteKnown(givenAt);
+    m_answered(givenAt);
 }
 
 void TableFollower::confirm()
@@ -312,9 +326,7 @@
 {
     const bool isWaitDoubted = m_wait && m_wait == m_waitDoubted;
     if (outcome.error) {
-        const Instant now = io::hostNow();
-        m_parts.plan.storeFailed(now);
-        m_parts.group.noteTrouble(now);
+        m_parts.plan.storeFailed(io::hostNow());
         m_isUnconfirmed = true;
         if (isWaitDoubted)
             askAnew();
@@ -323,11 +335,12 @@
     m_parts.plan.storeAnswered();
     if (m_isFailing || m_isReading)
         return;
+    const bool isNews = !outcome.rows.empty();
     m_answered(adopt(std::move(outcome), false, sentAt));
     m_parts.group.published();
-    if (!isWaitDoubted)
+    if (!isWaitDoubted || !isNews)
         return;
-    // All that the wait could bring is known now.
+    // The wait should have brought that: its answer may be lost.
     m_parts.store.cancel(*m_wait);
     followStore();
 }
@@ -341,35 +354,31 @@
     failed(platform::StoreError::Unknown);
 }
 
-void TableFollower::shortenWait()
-{
-    if (!m_wait || m_waitSpan <= troubledWait)
-        return;
-    m_parts.store.cancel(*m_wait);
-    followStore();
-}
-
 void TableFollower::failed(std::error_code error)
 {
-    const Instant now = io::hostNow();
-    m_parts.plan.storeFailed(now);
-    m_parts.group.noteTrouble(now);
+    m_parts.plan.storeFailed(io::hostNow());
     // Changes may have been missed: everything is read again.
     m_isAllWanted = true;
     m_reason = "store-failed";
-    const bool isFirst = !std::exchange(m_isFailing, true);
-    if (isFirst) {
-        m_failingSince = now;
-        io::logEvent(LogLevel::Warning, "store-lost",
-                     {{"table", m_table}, {"error", error.message()}});
-        askPeers();
-    }
+    const bool isFirst = noteLost(error.message());
     if (isFirst && error == platform::StoreError::Unknown)
         m_parts.group.storeSilent(*this);
     m_parts.group.published();
     next();
 }
 
+/** Notes that nothing is heard of changes. \returns whether that is news. */
+bool TableFollower::noteLost(std::string_view reason)
+{
+    if (std::exchange(m_isFailing, true))
+        return false;
+    m_failingSince = io::hostNow();
+    io::logEvent(LogLevel::Warning, "store-lost",
+                 {{"table", m_table}, {"error", std::string{reason}}});
+    askPeers();
+    return true;
+}
+
 /** Notes that the store's word has come, here or by another daemon. */
 void TableFollower::recovered()
 {
--- a/src/libbulrushentry/tablefollower.h
+++ b/src/libbulrushentry/tablefollower.h
@@ -44,11 +44,12 @@
 struct FollowPace
 {
     /** How long the store may hold a call without changes. */
-    Duration wait = std::chrono::seconds{10};
+    Duration wait;
     /** Between a change and the next call, so that one call brings several changes. */
-    Duration pause{};
-    /** Of tables whose age binds; a daemon that reads the store asks for the others along with
-     * them. */
+    Duration pause;
+    /** Who reads the store asks it again after this without word, as its wait may be lost. */
+    Duration confirmAfter;
+    /** Of tables whose age binds. */
     std::optional<Confirmation> confirmation = std::nullopt;
 };
 
@@ -82,13 +83,8 @@
     static constexpr Duration outage = std::chrono::seconds{1};
     /** Daemons elsewhere are asked this often while nobody else tells of rows. */
     static constexpr Duration askPeersEvery = std::chrono::milliseconds{450};
-    /**
-     * After a call that failed, waits for changes are this short for a while: an answer that is
-     * lost then shows within 1.9 s, and not after the 10.9 s of a whole wait, in which a
-     * configuration would be missed.
-     */
-    static constexpr Duration troubledWait = std::chrono::milliseconds{1000};
-    static constexpr Duration troubled = std::chrono::seconds{10};
+    /** An answer to a confirmation comes within this, or others may try. */
+    static constexpr Duration confirmPatience = std::chrono::milliseconds{400};
     /** How often the age of rows that have to be confirmed is looked at. */
     static constexpr Duration lookEvery = std::chrono::milliseconds{50};
     /** Removed rows that are remembered, so that others can follow by changes. */
@@ -120,11 +116,11 @@
     /** Gives up a wait for changes at the store, which may be lost, and reads all rows. */
     void askAnew();
 
-    /** Replaces a wait at the store that is too long for one that may be lost. */
-    void shortenWait();
+    /** Notes that no table has changed after \a version, as the store told at \a givenAt. */
+    void noteStoreVersion(std::uint64_t version, Instant givenAt);
 
-    /** Asks the store whether the rows are as they are known, beside any call that waits. */
-    void confirm();
+    /** \returns whether the store is being asked if the rows still hold, and may yet answer. */
+    bool isConfirming(Instant now) const;
 
     /** \returns whether the last call failed, and nobody else has told of rows since. */
     bool isCutOff() const;
@@ -171,16 +167,17 @@
     void logSource();
     void taken(platform::RowsOutcome outcome, bool isWhole, Instant sentAt);
     void failed(std::error_code error);
+    bool noteLost(std::string_view reason);
     void recovered();
     void look(Instant now);
     bool askBeside(Instant now);
+    void confirm();
     void confirmAtStore(Instant now);
     void confirmed(platform::RowsOutcome outcome, Instant sentAt);
     Instant adopt(platform::RowsOutcome outcome, bool isWhole, Instant sentAt);
     void remember(const platform::RowsOutcome &outcome, bool isWhole, bool isAfterOutage);
     void noteKnown(Instant asOf);
     bool wasAway(Instant now) const;
-    Duration storeWait(Instant now) const;
     RelayedRows allRows(Instant askedAt) const;
 
     FollowParts m_parts;
@@ -210,9 +207,8 @@
     bool m_hasRows = false;
     /** Changes may have been missed: the next rows have to be all there are. */
     bool m_isAllWanted = false;
-    /** The wait for changes at the store, while there is one, and for how long it may be held. */
+    /** The wait for changes at the store, while there is one. */
     std::optional<platform::StoreClient::CallId> m_wait;
-    Duration m_waitSpan{};
     Instant m_failingSince;
     bool m_isFailing = false;
     /** When the age of the rows was looked at last. */
--- a/src/libbulrushio/process/entrysettingsreader.cpp
+++ b/src/libbulrushio/process/entrysettingsreader.cpp
@@ -84,6 +84,7 @@
     readAddresses(fields, settings);
     readShutdown(fields, settings);
     readSeconds(fields, "serverDrainSeconds", settings.serverDrain);
+    readSeconds(fields, "configInForceSeconds", settings.configInForce);
     readCallerLimits(fields, settings.limits);
     readRetries(fields, settings.retries);
     constexpr double mostProcessors = 1024.0;
--- a/tests/entrysettings/test_entrysettings.cpp
+++ b/tests/entrysettings/test_entrysettings.cpp
@@ -79,6 +79,9 @@
         {"{{bounds.drainS}}", "2.5"},
         {"{{#bounds.drainS}}\n", ""},
         {"{{/bounds.drainS}}\n", ""},
+        {"{{bounds.configApplyS}}", "3"},
+        {"{{#bounds.configApplyS}}\n", ""},
+        {"{{/bounds.configApplyS}}\n", ""},
         {"{{bounds.graceS}}", "10"},
         {"{{#bounds.graceS}}\n", ""},
         {"{{/bounds.graceS}}\n", ""},
@@ -123,6 +126,7 @@
     BOOST_TEST((reading.settings.retries == RetryTerms{0.25, 64.0}));
     BOOST_TEST(reading.settings.processors == 0.1);
     BOOST_TEST((reading.settings.serverDrain == 2500ms));
+    BOOST_TEST((reading.settings.configInForce == 3s));
     BOOST_TEST((reading.settings.drainTime == 9500ms));
 }
 
@@ -131,8 +135,10 @@
     const SettingsFile usual{usable};
     const EntrySettings settings = io::readEntrySettings(usual.path()).settings;
     BOOST_TEST((settings.serverDrain == 2s));
+    BOOST_TEST((settings.configInForce == 2s));
     BOOST_TEST((settings.drainTime == 5500ms));
-    for (const std::string field : {"serverDrainSeconds", "shutdownGraceSeconds"}) {
+    for (const std::string field :
+         {"configInForceSeconds", "serverDrainSeconds", "shutdownGraceSeconds"}) {
         for (const std::string wrong : {"2s", "0", "-1", "soon", ""}) {
             const std::string problem = problemsOf(usable + field + ": " + wrong + "\n");
             BOOST_TEST(problem.find(field) != std::string::npos, wrong << ": " << problem);
--- a/tests/rowsworld/rowsworld.cpp
+++ b/tests/rowsworld/rowsworld.cpp
@@ -20,8 +20,6 @@
 constexpr Duration besideWait = 200ms;
 constexpr Duration followSlack = 400ms;
 constexpr Duration lookEvery = 50ms;
-constexpr Duration troubledWait = 1s;
-constexpr Duration troubled = 10s;
 constexpr Duration registerAgain = 500ms;
 /** How often bytes on links are moved on. */
 constexpr Duration transferStep = 10ms;
@@ -97,7 +95,6 @@
     std::unique_ptr<FollowPlan> plan;
     std::array<Table, tableCount> tables;
     std::list<Held> held;
-    Instant troubledAt;
     bool isRegistering = false;
     std::uint64_t calls = 0;
 };
@@ -228,7 +225,6 @@
     daemon.tables = {};
     daemon.held.clear();
     daemon.isRegistering = false;
-    daemon.troubledAt = {};
     daemon.busyUntil = m_now;
     askStore(index, Ownership, 0ms, false);
     next(index, Servers);
@@ -240,7 +236,8 @@
 {
     Daemon &daemon = *m_daemons[index];
     Table &table = daemon.tables[tableIndex];
-    const FollowStep step = daemon.plan->next({table.hasRows, tableIndex == Servers}, m_now);
+    const FollowStep step =
+        daemon.plan->next({table.hasRows, confirmation(tableIndex).has_value()}, m_now);
     const std::uint64_t life = daemon.life;
     if (const auto *later = std::get_if<AskLater>(&step)) {
         after(later->after, [this, index, life, tableIndex] {
@@ -257,10 +254,8 @@
     }
     table.source = index;
     table.chain = 0;
-    constexpr std::array<Duration, tableCount> waits{1s, 600ms, 10s};
-    Duration wait = waits.at(tableIndex);
-    if (m_now - daemon.troubledAt < troubled)
-        wait = std::min(wait, troubledWait);
+    const std::array<Duration, tableCount> waits{10s, m_budget.readerWait(), 10s};
+    const Duration wait = waits.at(tableIndex);
     const bool isUrgent =
         std::exchange(table.isFirstAtStore, false) || daemon.plan->isStoreFailing();
     askStore(index, tableIndex, isUrgent || !table.hasRows ? 0ms : wait, false);
@@ -340,6 +335,10 @@
     table.isFailing = false;
     table.knownAt = std::max(table.knownAt, givenAt);
     table.version = std::max(table.version, version);
+    for (Table &other : daemon.tables) {
+        if (other.hasRows && other.version == version)
+            other.knownAt = std::max(other.knownAt, givenAt);
+    }
     if (tableIndex == Ownership)
         showRows(index);
     answerHeld(index);
@@ -360,7 +359,6 @@
     Daemon &daemon = *m_daemons[index];
     Table &table = daemon.tables[tableIndex];
     daemon.plan->storeFailed(m_now);
-    daemon.troubledAt = m_now;
     if (isConfirmation) {
         table.isConfirming = false;
         return;
@@ -516,33 +514,51 @@
     });
     answerHeld(index);
     registerDaemon(index);
-    Table &servers = daemon.tables[Servers];
-    if (!servers.hasRows)
+    const Table &servers = daemon.tables[Servers];
+    if (servers.hasRows && couldAskStore(daemon))
+        m_oldest = std::max(m_oldest, m_now - servers.knownAt);
+    for (std::size_t table = 0; table < tableCount; ++table)
+        lookAt(index, table);
+}
+
+/** Sees to it that the rows of a table are confirmed. */
+void RowsWorld::lookAt(std::size_t index, std::size_t tableIndex)
+{
+    Daemon &daemon = *m_daemons[index];
+    const Table &table = daemon.tables[tableIndex];
+    if (!table.hasRows || table.isFailing || table.isConfirming)
         return;
-    const Duration age = m_now - servers.knownAt;
-    if (couldAskStore(daemon))
-        m_oldest = std::max(m_oldest, age);
-    if (servers.isFailing || servers.isConfirming)
+    const std::array<Duration, tableCount> readerConfirmsAfter{1s, m_budget.askBesideAfter(),
+                                                               m_configBudget.readerConfirmAfter()};
+    const auto confirmed = confirmation(tableIndex);
+    const Duration age = m_now - table.knownAt;
+    const bool isAtStore = table.source == index;
+    if (isAtStore && age < readerConfirmsAfter.at(tableIndex))
         return;
-    if (age < m_budget.askBesideAfter())
+    if (!isAtStore && (!confirmed || age < confirmed->askBesideAfter))
         return;
-    const bool isAtStore = servers.source == index;
-    if (!isAtStore && servers.askedBeside == 0) {
+    if (!isAtStore && table.askedBeside == 0) {
         for (const RowsReader &reader :
-             daemon.plan->readersBeside(m_daemons[servers.source]->host, m_now))
-            askReader(index, Servers, reader.address.port, true);
+             daemon.plan->readersBeside(m_daemons[table.source]->host, m_now))
+            askReader(index, tableIndex, reader.address.port, true);
     }
-    const bool isAskingOthers = !isAtStore && servers.askedBeside > 0;
-    if (isAskingOthers && age < m_budget.confirmAfter())
+    if (!isAtStore && table.askedBeside > 0 && age < confirmed->after)
         return;
     if (!daemon.plan->mayAskStore(m_now))
         return;
-    for (std::size_t table = 0; table < tableCount; ++table) {
-        if (table != Servers && !isAtStore)
-            continue;
-        if (!std::exchange(daemon.tables[table].isConfirming, true))
-            askStore(index, table, 0ms, true);
-    }
+    if (std::ranges::any_of(daemon.tables, &Table::isConfirming))
+        return;
+    daemon.tables[tableIndex].isConfirming = true;
+    askStore(index, tableIndex, 0ms, true);
+}
+
+std::optional<RowsWorld::Confirmation> RowsWorld::confirmation(std::size_t table) const
+{
+    if (table == Servers)
+        return Confirmation{m_budget.askBesideAfter(), m_budget.confirmAfter()};
+    if (table == Config)
+        return Confirmation{m_configBudget.askBesideAfter(), m_configBudget.confirmAfter()};
+    return std::nullopt;
 }
 
 void RowsWorld::registerDaemon(std::size_t index)
@@ -603,7 +619,8 @@
 bool RowsWorld::isFresh(const Daemon &daemon, std::size_t table) const
 {
     const Table &rows = daemon.tables[table];
-    return rows.hasRows && (table != Servers || m_now - rows.knownAt < m_budget.confirmAfter());
+    const auto confirmed = confirmation(table);
+    return rows.hasRows && (!confirmed || m_now - rows.knownAt < confirmed->after);
 }
 
 bool RowsWorld::isServing(const Daemon &daemon) const
--- a/tests/rowsworld/rowsworld.h
+++ b/tests/rowsworld/rowsworld.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/configbudget.h"
 #include "process/drainbudget.h"
 #include "process/followplan.h"
 
@@ -10,6 +11,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -133,6 +135,7 @@
     void readerFailed(std::size_t index, std::size_t table, std::size_t reader, bool isBeside,
                       ReaderFailure failure);
     void look(std::size_t index);
+    void lookAt(std::size_t index, std::size_t table);
     void registerDaemon(std::size_t index);
     void showRows(std::size_t index);
     void wakeWaits(std::size_t table);
@@ -145,7 +148,17 @@
     bool isReachable(const Daemon &from, const Daemon &to) const;
     bool couldAskStore(const Daemon &daemon) const;
 
+    /** How soon rows of a table are confirmed; nothing: they may get old. */
+    struct Confirmation
+    {
+        Duration askBesideAfter;
+        Duration after;
+    };
+
+    std::optional<Confirmation> confirmation(std::size_t table) const;
+
     DrainBudget m_budget{std::chrono::seconds{3}};
+    ConfigBudget m_configBudget{std::chrono::seconds{3}};
     std::mt19937_64 m_random;
     Instant m_now{std::chrono::seconds{1000}};
     std::multimap<Instant, Step> m_steps;
