Send long answers only as fast as the link bears, and let who is declined ask the store

What callers saw: 24 hosts of a failure domain went by an old configuration for seconds after a later one was acknowledged. Cause: the daemon that read the store for them had 10 Mbit/s and began to send 273 KB to all of them at once; each gave up after 1.0 s and asked the next narrow host for another copy.

--- a/src/libbulrush/process/entrysettings.h
+++ b/src/libbulrush/process/entrysettings.h
@@ -35,6 +35,8 @@
     CallerLimits limits;
     /** What the host has of processors, in cores. */
     double processors = 1.0;
+    /** What the host's link carries, in megabits a second. */
+    double linkMegabits = 1000.0;
     /** What all daemons together may repeat. */
     RetryTerms retries;
     LogLevel logLevel = LogLevel::Info;
--- a/src/libbulrush/process/followplan.cpp
+++ b/src/libbulrush/process/followplan.cpp
@@ -70,7 +70,7 @@
 void FollowPlan::readerFailed(const HostName &host, ReaderFailure failure, Instant now)
 {
     m_readers.failed(host, failure, now);
-    if (failure == ReaderFailure::Refused)
+    if (failure != ReaderFailure::Silent)
         return;
     if (!m_searchingSince)
         m_searchingSince = now;
--- a/src/libbulrush/process/readerchoice.cpp
+++ b/src/libbulrush/process/readerchoice.cpp
@@ -43,13 +43,23 @@
     const bool isPassedOver = now < failures.until;
     if (isPassedOver && (failure == failures.last || failures.last == ReaderFailure::Silent))
         return;
-    const Duration span = failure == ReaderFailure::Silent
-        ? doubled(suspicion, longestSuspicion, ++failures.silences)
-        : doubled(refusal, longestRefusal, ++failures.refusals);
-    failures.until = std::max(failures.until, now + span);
+    failures.until = std::max(failures.until, now + pauseAfter(failure, failures));
     failures.last = failure;
 }
 
+Duration ReaderChoice::pauseAfter(ReaderFailure failure, Failures &failures)
+{
+    switch (failure) {
+    case ReaderFailure::Refused:
+        return doubled(refusal, longestRefusal, ++failures.refusals);
+    case ReaderFailure::Silent:
+        return doubled(suspicion, longestSuspicion, ++failures.silences);
+    case ReaderFailure::Busy:
+        break;
+    }
+    return busyPause;
+}
+
 void ReaderChoice::served(const HostName &host)
 {
     m_failures.erase(host);
--- a/src/libbulrush/process/readerchoice.h
+++ b/src/libbulrush/process/readerchoice.h
@@ -28,6 +28,7 @@
 enum class ReaderFailure {
     Refused, ///< it answered that it has none to serve
     Silent,  ///< it gave no answer in time, or can't be reached
+    Busy,    ///< it has rows, but its link is taken up for now
 };
 
 /** Where a daemon counts itself among those of its failure domain. */
@@ -54,6 +55,8 @@
     /** The same for one that refused: to ask it again costs one message within the domain. */
     static constexpr Duration refusal = std::chrono::seconds{1};
     static constexpr Duration longestRefusal = std::chrono::seconds{2};
+    /** The same for one that was busy: about as long as a long answer takes on a narrow link. */
+    static constexpr Duration busyPause = std::chrono::milliseconds{300};
     /**
      * Only the first of the order are followed: with 39 daemons in a failure domain, all of which
      * have lost the store, each would ask 38 others every two seconds.
@@ -102,6 +105,7 @@
         ReaderFailure last = ReaderFailure::Refused;
     };
 
+    static Duration pauseAfter(ReaderFailure failure, Failures &failures);
     std::span<const RowsReader> candidates(ReaderPlace place) const;
     std::span<const RowsReader> eager() const;
     bool isEligible(const RowsReader &candidate, Instant now) const;
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -79,7 +79,7 @@
                 [this](std::shared_ptr<const Quarantine> quarantine) {
                     m_worker.setQuarantine(std::move(quarantine));
                 })
-    , m_peers(m_keys, m_state, m_timers, m_followers)
+    , m_peers(m_keys, m_state, m_timers, m_followers, LinkBudget{m_settings.linkMegabits})
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
 { }
 
--- a/src/libbulrushentry/peerdesk.cpp
+++ b/src/libbulrushentry/peerdesk.cpp
@@ -23,9 +23,10 @@
 } // namespace
 
 PeerDesk::PeerDesk(KeyControl &keys, StatePublisher &state, io::LoopTimers &timers,
-                   FollowerGroup &group)
+                   FollowerGroup &group, const LinkBudget &link)
     : m_keys(keys)
     , m_state(state)
+    , m_served(link)
     , m_feed(timers, group, m_served)
 { }
 
@@ -72,7 +73,8 @@
     if (!asked || !asked->hasRows())
         return io::textPage(notFound, "no rows are known here by that path\n");
     std::string body = encodeRows(asked->rowsSince(question->version, io::hostNow()));
-    m_served.add(question->table, body.size());
+    if (!m_served.admits(question->table, body.size(), io::hostNow()))
+        return io::refusal(busyStatus);
     return jsonPage(std::move(body));
 }
 
--- a/src/libbulrushentry/peerdesk.h
+++ b/src/libbulrushentry/peerdesk.h
@@ -23,8 +23,9 @@
 class PeerDesk
 {
 public:
-    /** \pre all outlive this object */
-    PeerDesk(KeyControl &keys, StatePublisher &state, io::LoopTimers &timers, FollowerGroup &group);
+    /** \pre all but \a link outlive this object */
+    PeerDesk(KeyControl &keys, StatePublisher &state, io::LoopTimers &timers, FollowerGroup &group,
+             const LinkBudget &link);
 
     /** Listens at \a address. \returns TransportError::ListenFailed if it can't be used. */
     std::error_code listen(asio::io_context &loop, const Endpoint &address);
--- a/src/libbulrushentry/peerpaths.h
+++ b/src/libbulrushentry/peerpaths.h
@@ -15,4 +15,7 @@
  */
 constexpr std::string_view feedPath = "/feed/";
 
+/** The status of an answer by a daemon that has rows, but no room on its link to send them. */
+constexpr int busyStatus = 429;
+
 } // namespace bulrush
--- a/src/libbulrushentry/rowsfeed.cpp
+++ b/src/libbulrushentry/rowsfeed.cpp
@@ -121,7 +121,10 @@
     if (list.empty())
         list = encodeRowList(rows);
     std::string body = encodeRows(rows, list);
-    m_served.add(held.question.table, body.size());
+    if (!m_served.admits(held.question.table, body.size(), now)) {
+        held.writer->send(io::refusal(busyStatus));
+        return true;
+    }
     held.writer->send({ok, {{"Content-Type", "application/json"}}, std::move(body)});
     return true;
 }
--- a/src/libbulrushentry/rowsrelay.cpp
+++ b/src/libbulrushentry/rowsrelay.cpp
@@ -31,6 +31,14 @@
                   {"ms", io::millisecondsText(io::hostNow() - sentAt)}});
 }
 
+/** \returns why an answer has no rows, if it has none. */
+ReaderFailure failureOf(const io::HttpResult &result)
+{
+    if (result.error)
+        return ReaderFailure::Silent;
+    return result.response.status == busyStatus ? ReaderFailure::Busy : ReaderFailure::Refused;
+}
+
 std::string feedTarget(const FollowQuestion &question, Duration wait)
 {
     std::string target{feedPath};
@@ -56,12 +64,13 @@
     call.target = std::move(target);
     call.headers = {{"Host", toString(daemon)}};
     call.timeout = timeout;
+    call.answerWithin = answerWithin;
     const Instant sentAt = io::hostNow();
     m_client.send(
         std::move(call),
         [sentAt, question, daemon, handler = std::move(handler)](const io::HttpResult &result) {
             logAnswer(question, daemon, result, sentAt);
-            FollowAnswer answer{std::nullopt, sentAt, !result.error};
+            FollowAnswer answer{std::nullopt, sentAt, failureOf(result)};
             if (!result.error && result.response.status == ok)
                 answer.rows = decodeRows(result.response.body);
             if (answer.rows)
--- a/src/libbulrushentry/rowsrelay.h
+++ b/src/libbulrushentry/rowsrelay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/serverclient.h"
+#include "process/readerchoice.h"
 #include "rowscodec.h"
 
 #include <cstddef>
@@ -29,8 +30,8 @@
     std::optional<RelayedRows> rows;
     /** The instant at which the store was known to hold these. */
     Instant asOf;
-    /** It said that it serves none, and was not just silent. */
-    bool isRefused = false;
+    /** Why there are none. */
+    ReaderFailure failure = ReaderFailure::Silent;
 };
 
 /**
@@ -51,6 +52,8 @@
     /** How long a daemon may hold a question for changes, and answer beyond that. */
     static constexpr Duration followWait = std::chrono::milliseconds{600};
     static constexpr Duration followSlack = std::chrono::milliseconds{400};
+    /** For an answer that has begun: a long one takes time on narrow links. */
+    static constexpr Duration answerWithin = std::chrono::milliseconds{1000};
     /** The same for one that is asked beside another, and asks the store itself meanwhile. */
     static constexpr Duration besideWait = std::chrono::milliseconds{200};
 
--- a/src/libbulrushentry/rowsserved.cpp
+++ b/src/libbulrushentry/rowsserved.cpp
@@ -8,18 +8,28 @@
 
 namespace {
 
-/** Of all answers between two log lines; fewer are not worth a line. */
+/** Of a table between two log lines; fewer are not worth a line. */
 constexpr std::uint64_t loggedBytes = 100'000;
 
 } // namespace
 
-void RowsServed::add(const std::string &table, std::size_t bytes)
+RowsServed::RowsServed(const LinkBudget &link)
+    : m_link(link)
+{ }
+
+bool RowsServed::admits(const std::string &table, std::size_t bytes, Instant now)
 {
+    const bool isAdmitted = m_link.take(bytes, now);
     for (auto *counts : {&m_counts, &m_unlogged}) {
         Count &count = (*counts)[table];
-        ++count.answers;
-        count.bytes += bytes;
+        if (isAdmitted) {
+            ++count.answers;
+            count.bytes += bytes;
+        } else {
+            ++count.declined;
+        }
     }
+    return isAdmitted;
 }
 
 std::string RowsServed::text() const
@@ -29,21 +39,23 @@
         const std::string labels = "{table=\"" + table + "\"} ";
         text += "bulrush_rows_served_total" + labels + std::to_string(count.answers) + '\n';
         text += "bulrush_rows_served_bytes_total" + labels + std::to_string(count.bytes) + '\n';
+        text += "bulrush_rows_declined_total" + labels + std::to_string(count.declined) + '\n';
     }
     return text;
 }
 
 void RowsServed::log()
 {
-    std::uint64_t bytes = 0;
+    bool isWorthALine = false;
     std::string tables;
     for (const auto &[table, count] : std::exchange(m_unlogged, {})) {
-        bytes += count.bytes;
+        isWorthALine = isWorthALine || count.bytes >= loggedBytes || count.declined > 0;
         tables += (tables.empty() ? "" : ",") + table + '=' + std::to_string(count.answers) + '/'
-            + std::to_string(count.bytes);
+            + std::to_string(count.bytes) + '/' + std::to_string(count.declined);
     }
-    if (bytes >= loggedBytes)
-        io::logEvent(LogLevel::Info, "rows-served", {{"answers-and-bytes", std::move(tables)}});
+    if (isWorthALine)
+        io::logEvent(LogLevel::Info, "rows-served",
+                     {{"answers-bytes-declined", std::move(tables)}});
 }
 
 } // namespace bulrush
--- a/src/libbulrushentry/rowsserved.h
+++ b/src/libbulrushentry/rowsserved.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "process/linkbudget.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -8,16 +10,21 @@
 namespace bulrush {
 
 /**
- * Counts the answers with rows that a daemon gives to others, by table: on a narrow link they are
- * what keeps later ones back.
+ * Decides which answers with rows a daemon gives to others, by what its link bears, and counts them
+ * by table.
  *
  * Used on the control thread.
  */
 class RowsServed
 {
 public:
-    /** Notes an answer with rows of \a table and a body of \a bytes. */
-    void add(const std::string &table, std::size_t bytes);
+    explicit RowsServed(const LinkBudget &link);
+
+    /**
+     * \returns whether an answer with rows of \a table and a body of \a bytes is to be sent, which
+     * is then reckoned with.
+     */
+    bool admits(const std::string &table, std::size_t bytes, Instant now);
 
     /** \returns all counts as text for a metrics page, a line for each value. */
     std::string text() const;
@@ -30,8 +37,10 @@
     {
         std::uint64_t answers = 0;
         std::uint64_t bytes = 0;
+        std::uint64_t declined = 0;
     };
 
+    LinkBudget m_link;
     std::map<std::string, Count> m_counts;
     /** Since the last log line. */
     std::map<std::string, Count> m_unlogged;
--- a/src/libbulrushentry/tablefollower.cpp
+++ b/src/libbulrushentry/tablefollower.cpp
@@ -12,6 +12,19 @@
 
 constexpr std::string_view storeSource = "store";
 
+std::string_view nameOf(ReaderFailure failure)
+{
+    switch (failure) {
+    case ReaderFailure::Refused:
+        return "reader-refused";
+    case ReaderFailure::Silent:
+        return "reader-silent";
+    case ReaderFailure::Busy:
+        break;
+    }
+    return "reader-busy";
+}
+
 } // namespace
 
 TableFollower::TableFollower(const FollowParts &parts, std::string table, FollowPace pace)
@@ -69,9 +82,9 @@
 {
     const RowsReader reader = step.reader;
     setSource(reader.host.value());
-    const bool isAllWanted = m_isAllWanted || !m_hasRows;
+    // One that has read all rows anew since then tells all of them.
     m_parts.relay.follow(
-        reader.address, {m_table, isAllWanted ? 0 : m_version},
+        reader.address, {m_table, m_hasRows ? m_version : 0},
         [this, reader](FollowAnswer answer) { takenFromReader(reader, std::move(answer)); });
 }
 
@@ -90,7 +103,8 @@
     const Instant sentAt = io::hostNow();
     // Where the store is tried, or others wait for what this daemon is to read, an answer is wanted
     // at once.
-    const bool isUrgent = std::exchange(m_isFirstAtStore, false) || m_parts.plan.isStoreFailing();
+    const bool isFirst = std::exchange(m_isFirstAtStore, false);
+    const bool isUrgent = isFirst || m_isFailing || m_parts.plan.isStoreFailing();
     const Duration wait = isUrgent ? Duration::zero() : m_pace.wait;
     m_wait = m_parts.store.follow(m_table, m_version, wait,
                                   [this, sentAt](platform::RowsOutcome outcome) {
@@ -102,14 +116,14 @@
 void TableFollower::takenFromReader(const RowsReader &reader, FollowAnswer answer)
 {
     if (!answer.rows) {
-        const bool isRefused = answer.isRefused;
-        readerFailed(reader, isRefused ? ReaderFailure::Refused : ReaderFailure::Silent,
-                     isRefused ? "reader-refused" : "reader-silent");
+        m_reason = nameOf(answer.failure);
+        readerFailed(reader, answer.failure);
         return;
     }
     m_chain = answer.rows->chain + 1;
     if (m_chain > longestChain) {
-        readerFailed(reader, ReaderFailure::Refused, "chain-too-long");
+        m_reason = "chain-too-long";
+        readerFailed(reader, ReaderFailure::Refused);
         return;
     }
     m_parts.plan.readerServed(reader.host);
@@ -125,10 +139,13 @@
     next();
 }
 
-void TableFollower::readerFailed(const RowsReader &reader, ReaderFailure failure,
-                                 std::string_view reason)
+void TableFollower::readerFailed(const RowsReader &reader, ReaderFailure failure)
 {
-    m_reason = reason;
+    // The store's link is wide. Who follows goes on with this reader afterwards.
+    if (failure == ReaderFailure::Busy && !m_parts.plan.isStoreFailing()) {
+        carryOut(AskStore{});
+        return;
+    }
     m_parts.plan.readerFailed(reader.host, failure, io::hostNow());
     next();
 }
@@ -269,9 +286,9 @@
         m_parts.relay.askBeside(
             reader.address, question, [this, host = reader.host](FollowAnswer answer) {
                 --m_askedBeside;
-                if (!answer.rows)
+                if (!answer.rows && answer.failure != ReaderFailure::Busy)
                     m_parts.plan.readerFailed(host, ReaderFailure::Refused, io::hostNow());
-                else if (adoptRelayed(std::move(*answer.rows), answer.asOf))
+                else if (answer.rows && adoptRelayed(std::move(*answer.rows), answer.asOf))
                     m_parts.group.published();
             });
     }
@@ -420,7 +437,7 @@
 {
     if (!m_isFailing)
         return;
-    m_parts.relay.ask({m_table, m_isAllWanted ? 0 : m_version}, [this](FollowAnswer answer) {
+    m_parts.relay.ask({m_table, m_hasRows ? m_version : 0}, [this](FollowAnswer answer) {
         // One that lost the store as well tells what it knew; whoever serves rows is followed.
         if (m_isFailing && answer.rows)
             adoptRelayed(std::move(*answer.rows), answer.asOf);
--- a/src/libbulrushentry/tablefollower.h
+++ b/src/libbulrushentry/tablefollower.h
@@ -160,7 +160,7 @@
     void read();
     void followStore();
     void takenFromReader(const RowsReader &reader, FollowAnswer answer);
-    void readerFailed(const RowsReader &reader, ReaderFailure failure, std::string_view reason);
+    void readerFailed(const RowsReader &reader, ReaderFailure failure);
     bool adoptRelayed(RelayedRows rows, Instant asOf);
     void askPeers();
     void setSource(const std::string &source);
--- a/src/libbulrushio/connection/servercall.h
+++ b/src/libbulrushio/connection/servercall.h
@@ -30,6 +30,8 @@
     Duration connectTimeout = std::chrono::milliseconds{400};
     /** From the start to the end of the answer. */
     Duration timeout = std::chrono::seconds{1};
+    /** From the first byte of the answer to its end, where that allows more time. */
+    Duration answerWithin = Duration::zero();
     /** The call is not sent after this, when it has waited for its connection until then. */
     Instant sendBy = Instant::max();
     /** Bytes that the server's host has not acknowledged by then end the connection. */
--- a/src/libbulrushio/connection/serverconnection.cpp
+++ b/src/libbulrushio/connection/serverconnection.cpp
@@ -168,12 +168,7 @@
 {
     m_stage = TransferStage::Sending;
     m_times.connectedAt = hostNow();
-    const Duration left = std::max(Duration::zero(), m_deadline - hostNow());
-    m_timer.expires_after(left);
-    m_timer.async_wait([self = shared_from_this()](asio::error_code failure) {
-        if (!failure)
-            self->timedOut();
-    });
+    startTimer(m_deadline);
     std::array<asio::const_buffer, 2> parts{asio::buffer(m_head), {}};
     if (m_call.body)
         parts[1] = asio::buffer(*m_call.body);
@@ -236,8 +231,22 @@
                                      : TransportError::ConnectionLost);
 }
 
+/** Gives the call up at \a deadline, and not before. */
+void ServerConnection::startTimer(Instant deadline)
+{
+    m_deadline = deadline;
+    m_timer.expires_after(std::max(Duration::zero(), deadline - hostNow()));
+    m_timer.async_wait([self = shared_from_this()](asio::error_code failure) {
+        if (!failure)
+            self->timedOut();
+    });
+}
+
 void ServerConnection::takeBytes(std::string_view bytes)
 {
+    const Instant answerBy = hostNow() + m_call.answerWithin;
+    if (!m_parser.hasBegun() && answerBy > m_deadline)
+        startTimer(answerBy);
     while (!bytes.empty()) {
         bytes.remove_prefix(m_parser.feed(bytes));
         if (m_parser.error()) {
--- a/src/libbulrushio/process/entrysettingsreader.cpp
+++ b/src/libbulrushio/process/entrysettingsreader.cpp
@@ -90,6 +90,10 @@
     constexpr double mostProcessors = 1024.0;
     fields.read("processors", decimal(0.0, mostProcessors), settings.processors,
                 Presence::Optional);
+    constexpr double leastMegabits = 0.1;
+    constexpr double mostMegabits = 1'000'000.0;
+    fields.read("linkMegabitsPerSecond", decimal(leastMegabits, mostMegabits),
+                settings.linkMegabits, Presence::Optional);
     readLogLevel(fields, settings.logLevel);
     fields.finish();
     if (!report.isClean())
--- a/tests/entrysettings/test_entrysettings.cpp
+++ b/tests/entrysettings/test_entrysettings.cpp
@@ -76,6 +76,9 @@
         {"{{limits.cpuShare}}", "0.1"},
         {"{{#limits.cpuShare}}\n", ""},
         {"{{/limits.cpuShare}}\n", ""},
+        {"{{limits.linkMbps}}", "20"},
+        {"{{#limits.linkMbps}}\n", ""},
+        {"{{/limits.linkMbps}}\n", ""},
         {"{{bounds.drainS}}", "2.5"},
         {"{{#bounds.drainS}}\n", ""},
         {"{{/bounds.drainS}}\n", ""},
@@ -125,6 +128,7 @@
     BOOST_TEST(reading.settings.operators.port == 8388);
     BOOST_TEST((reading.settings.retries == RetryTerms{0.25, 64.0}));
     BOOST_TEST(reading.settings.processors == 0.1);
+    BOOST_TEST(reading.settings.linkMegabits == 20.0);
     BOOST_TEST((reading.settings.serverDrain == 2500ms));
     BOOST_TEST((reading.settings.configInForce == 3s));
     BOOST_TEST((reading.settings.drainTime == 9500ms));
--- a/tests/rowsworld/rowsworld.cpp
+++ b/tests/rowsworld/rowsworld.cpp
@@ -19,6 +19,9 @@
 constexpr Duration followWait = 600ms;
 constexpr Duration besideWait = 200ms;
 constexpr Duration followSlack = 400ms;
+constexpr Duration answerWithin = 1s;
+/** Of an answer without a configuration. */
+constexpr std::size_t shortBytes = 100;
 constexpr Duration lookEvery = 50ms;
 constexpr Duration registerAgain = 500ms;
 /** How often bytes on links are moved on. */
@@ -53,13 +56,20 @@
     Step wake;
 };
 
+/** A question to a daemon. */
+struct RowsWorld::Exchange
+{
+    bool isOpen = true;
+    /** Until when an answer is waited for. */
+    Instant until;
+};
+
 struct RowsWorld::Held
 {
     std::size_t from = 0;
     std::uint64_t life = 0;
     std::size_t table = 0;
-    /** Whether the question still waits for an answer. */
-    std::shared_ptr<bool> isOpen;
+    std::shared_ptr<Exchange> exchange;
     std::uint64_t version = 0;
     bool isBeside = false;
     Instant askedAt;
@@ -73,8 +83,7 @@
     std::size_t to = 0;
     double bytesLeft = 0.0;
     Step arrived;
-    /** Whether it is still waited for. */
-    std::shared_ptr<const bool> isOpen;
+    std::shared_ptr<const Exchange> exchange;
 };
 
 struct RowsWorld::Daemon
@@ -93,6 +102,7 @@
     StoreState store = StoreState::Answering;
     Instant storeChangedAt;
     std::unique_ptr<FollowPlan> plan;
+    LinkBudget link{1.0};
     std::array<Table, tableCount> tables;
     std::list<Held> held;
     bool isRegistering = false;
@@ -112,9 +122,11 @@
         const std::size_t place = scenario.daemonsPerDomain - 1 - i / scenario.domains;
         const bool isStrong = place < scenario.strongPerDomain;
         daemon->processors = isStrong ? strongProcessors : weakProcessors;
+        const double megabits =
+            isStrong ? scenario.strongMegabitsPerSecond : scenario.weakMegabitsPerSecond;
         constexpr double bytesPerMegabit = 1e6 / 8;
-        daemon->bytesPerSecond = bytesPerMegabit
-            * (isStrong ? scenario.strongMegabitsPerSecond : scenario.weakMegabitsPerSecond);
+        daemon->bytesPerSecond = bytesPerMegabit * megabits;
+        daemon->link = LinkBudget{megabits};
         m_daemons.push_back(std::move(daemon));
         const auto spanMs = static_cast<std::uint64_t>(scenario.startSpan / 1ms);
         after(1ms * (m_random() % spanMs), [this, i] { start(i); });
@@ -158,7 +170,7 @@
 
 /** Has \a arrived called once \a bytes have gone over both links. */
 void RowsWorld::transfer(std::size_t from, std::size_t to, std::size_t bytes, Step arrived,
-                         std::shared_ptr<const bool> isOpen)
+                         std::shared_ptr<const Exchange> exchange)
 {
     if (from != storeIndex)
         m_relayedBytes += bytes;
@@ -167,7 +179,7 @@
         return;
     }
     m_transfers.push_back(
-        {from, to, static_cast<double>(bytes), std::move(arrived), std::move(isOpen)});
+        {from, to, static_cast<double>(bytes), std::move(arrived), std::move(exchange)});
     if (m_transfers.size() == 1)
         after(transferStep, [this] { moveBytes(); });
 }
@@ -175,7 +187,7 @@
 /** Moves all bytes on: what is on one link shares it evenly. */
 void RowsWorld::moveBytes()
 {
-    std::erase_if(m_transfers, [](const Transfer &moving) { return !*moving.isOpen; });
+    std::erase_if(m_transfers, [](const Transfer &moving) { return !moving.exchange->isOpen; });
     std::map<std::size_t, double> sending;
     std::map<std::size_t, double> receiving;
     for (const Transfer &moving : m_transfers) {
@@ -252,6 +264,13 @@
         askReader(index, tableIndex, table.source, false);
         return;
     }
+    followStore(index, tableIndex);
+}
+
+void RowsWorld::followStore(std::size_t index, std::size_t tableIndex)
+{
+    Daemon &daemon = *m_daemons[index];
+    Table &table = daemon.tables[tableIndex];
     table.source = index;
     table.chain = 0;
     const std::array<Duration, tableCount> waits{10s, m_budget.readerWait(), 10s};
@@ -304,7 +323,7 @@
                         storeAnswered(index, tableIndex, givenAt, version, isConfirmation);
                     });
             },
-            std::make_shared<const bool>(true));
+            std::make_shared<const Exchange>());
     };
     const bool hasNews = m_versions.at(tableIndex) > table.version || !table.hasRows;
     if (hasNews || wait == Duration::zero()) {
@@ -379,21 +398,21 @@
         ++table.askedBeside;
     // A process that is gone refuses the connection at once.
     const bool isRefused = !asked.isUp && isReachable(daemon, asked);
-    const auto isOpen = std::make_shared<bool>(true);
     const Duration patience =
         isRefused ? 2 * transit() : (isBeside ? besideWait : followWait) + followSlack;
-    after(patience, [=, this] {
+    const auto exchange = std::make_shared<Exchange>(true, m_now + patience);
+    awaitAnswer(exchange, [=, this] {
         Daemon &waiting = *m_daemons[index];
         if (!waiting.isUp || waiting.life != life)
             return;
         handle(index, [=, this] {
-            if (std::exchange(*isOpen, false))
+            if (std::exchange(exchange->isOpen, false))
                 readerFailed(index, tableIndex, reader, isBeside, ReaderFailure::Silent);
         });
     });
     if (isRefused || !isReachable(daemon, asked))
         return;
-    const Held held{index,         life,     tableIndex, isOpen,
+    const Held held{index,         life,     tableIndex, exchange,
                     table.version, isBeside, m_now,      isBeside ? table.knownAt : Instant::max()};
     const std::uint64_t askedLife = asked.life;
     after(transit(), [=, this] {
@@ -402,6 +421,17 @@
     });
 }
 
+/** Calls \a givenUp once there is no time left for the answer. */
+void RowsWorld::awaitAnswer(const std::shared_ptr<Exchange> &exchange, Step givenUp)
+{
+    after(exchange->until - m_now, [this, exchange, givenUp = std::move(givenUp)] {
+        if (m_now < exchange->until)
+            awaitAnswer(exchange, givenUp);
+        else
+            givenUp();
+    });
+}
+
 void RowsWorld::takeQuestion(std::size_t index, Held held)
 {
     Daemon &daemon = *m_daemons[index];
@@ -433,11 +463,13 @@
                 Daemon &told = *m_daemons[held.from];
                 if (told.isUp && told.life == held.life)
                     handle(held.from, [this, held, step] {
-                        if (std::exchange(*held.isOpen, false))
+                        if (std::exchange(held.exchange->isOpen, false))
                             step();
                     });
             };
-            transfer(index, held.from, bytes, arrived, held.isOpen);
+            if (bytes > 0)
+                held.exchange->until = std::max(held.exchange->until, m_now + answerWithin);
+            transfer(index, held.from, bytes, arrived, held.exchange);
         });
     };
     if (!isServing(daemon) || (isOver && !isFresh(daemon, held.table))) {
@@ -449,9 +481,16 @@
     const bool hasNews = rows.version > held.version || rows.knownAt > held.newsAfter;
     if (!isFresh(daemon, held.table) || (!hasNews && !isOver))
         return false;
+    const std::size_t bytes = bytesOf(held.table, held.version, rows.version);
+    if (!daemon.link.take(bytes + shortBytes, m_now)) {
+        answer([this, index, held] {
+            readerFailed(held.from, held.table, index, held.isBeside, ReaderFailure::Busy);
+        });
+        return true;
+    }
     answer([this, index, held,
             rows] { readerAnswered(held.from, held.table, index, held.isBeside, rows); },
-           bytesOf(held.table, held.version, rows.version));
+           bytes);
     return true;
 }
 
@@ -496,7 +535,12 @@
     const HostName &host = m_daemons[reader]->host;
     if (isBeside) {
         --table.askedBeside;
-        daemon.plan->readerFailed(host, ReaderFailure::Refused, m_now);
+        if (failure != ReaderFailure::Busy)
+            daemon.plan->readerFailed(host, ReaderFailure::Refused, m_now);
+        return;
+    }
+    if (failure == ReaderFailure::Busy && !daemon.plan->isStoreFailing()) {
+        followStore(index, tableIndex);
         return;
     }
     daemon.plan->readerFailed(host, failure, m_now);
--- a/tests/rowsworld/rowsworld.h
+++ b/tests/rowsworld/rowsworld.h
@@ -3,6 +3,7 @@
 #include "process/configbudget.h"
 #include "process/drainbudget.h"
 #include "process/followplan.h"
+#include "process/linkbudget.h"
 
 #include <array>
 #include <cstddef>
@@ -111,6 +112,7 @@
 
     struct Table;
     struct Daemon;
+    struct Exchange;
     struct Held;
     struct Transfer;
     using Step = std::function<void()>;
@@ -122,6 +124,8 @@
 
     void start(std::size_t index);
     void next(std::size_t index, std::size_t table);
+    void followStore(std::size_t index, std::size_t table);
+    void awaitAnswer(const std::shared_ptr<Exchange> &exchange, Step givenUp);
     void askStore(std::size_t index, std::size_t table, Duration wait, bool isConfirmation);
     void storeAnswered(std::size_t index, std::size_t table, Instant givenAt, std::uint64_t version,
                        bool isConfirmation);
@@ -142,7 +146,7 @@
     bool isFresh(const Daemon &daemon, std::size_t table) const;
     std::size_t bytesOf(std::size_t table, std::uint64_t known, std::uint64_t told) const;
     void transfer(std::size_t from, std::size_t to, std::size_t bytes, Step arrived,
-                  std::shared_ptr<const bool> isOpen);
+                  std::shared_ptr<const Exchange> exchange);
     void moveBytes();
     bool isServing(const Daemon &daemon) const;
     bool isReachable(const Daemon &from, const Daemon &to) const;
--- a/tests/rowsworld/test_rowslinks.cpp
+++ b/tests/rowsworld/test_rowslinks.cpp
@@ -41,6 +41,7 @@
                 world.setStore(world.daemonOf(domain, rank), StoreState::Refusing);
         }
         world.play(700ms);
+        const std::uint64_t before = world.relayedBytes();
         world.changeConfig();
         world.play(configBound);
         BOOST_TEST(world.behindCount() == 0U,
@@ -48,5 +49,7 @@
         world.play(configStretch);
         BOOST_TEST(world.allBehindCount() == 0U,
                    world.allBehindCount() << " daemons in all, seed " << seed);
+        // A copy for each daemon, and one for each that was sent in vain.
+        BOOST_TEST(world.relayedBytes() - before <= 2 * world.daemonCount() * scenario.configBytes);
     }
 }
--- a/tests/serverclient/test_serverclient.cpp
+++ b/tests/serverclient/test_serverclient.cpp
@@ -235,6 +235,29 @@
     BOOST_TEST((result.stage == TransferStage::Sent));
 }
 
+BOOST_FIXTURE_TEST_CASE(anAnswerThatHasBegunIsNotGivenUpByTheTimeoutForItsBegin, Fixture)
+{
+    ScriptedServer server{loop, [this](Socket &socket, int) -> asio::awaitable<void> {
+                              std::string buffer;
+                              co_await ScriptedServer::readHead(socket, buffer);
+                              const std::string answer = answerTo("one", "a long answer");
+                              co_await ScriptedServer::write(socket, answer.substr(0, 20));
+                              asio::steady_timer timer{loop, 400ms};
+                              co_await timer.async_wait(asio::use_awaitable);
+                              co_await ScriptedServer::write(socket, answer.substr(20));
+                          }};
+    for (const Duration answerWithin : {Duration{0ms}, Duration{ample}}) {
+        ServerCall made = call(server, "one");
+        made.timeout = 200ms;
+        made.answerWithin = answerWithin;
+        const HttpResult result = send(std::move(made));
+        if (answerWithin == Duration::zero())
+            BOOST_TEST(result.error == TransportError::TimedOut);
+        else
+            BOOST_TEST(result.response.body == "a long answer");
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(aCancelledCallClosesItsConnection, Fixture)
 {
     bool hasClosed = false;
