--- a/src/libbulrush/process/crashledger.cpp
+++ b/src/libbulrush/process/crashledger.cpp
@@ -19,7 +19,7 @@
         const bool isKnown = std::ranges::any_of(m_reports, [&report](const OwnReport &own) {
             return own.report.request == report.request && own.report.server == report.server;
         });
-        if (isKnown || m_acquitted.contains({report.request, report.server}))
+        if (isKnown || m_retracted.contains({report.request, report.server}))
             continue;
         if (m_reports.size() >= mostReports) {
             // One that came again is worth more than one that was there once.
@@ -35,34 +35,34 @@
 
 void CrashLedger::answered(const RequestFingerprint &request, Instant now)
 {
-    if (acquitSuspect(request) && endsToOthers(request) >= tellingCrashes)
+    if (retractSuspect(request) && endsToOthers(request) >= tellingCrashes)
         m_tellAt.try_emplace(request, tellAt(request, now));
 }
 
 bool CrashLedger::lift(const RequestFingerprint &request)
 {
-    const bool isKnown = acquitSuspect(request);
+    const bool isKnown = retractSuspect(request);
     m_isUntold = m_isUntold || isKnown;
     return isKnown;
 }
 
 /** Takes back all that counts against \a request. \returns whether there was anything. */
-bool CrashLedger::acquitSuspect(const RequestFingerprint &request)
+bool CrashLedger::retractSuspect(const RequestFingerprint &request)
 {
     const auto suspect = suspects().find(request);
     if (suspect == m_suspects.end())
         return false;
-    acquit(request, suspect->second.servers);
+    retract(request, suspect->second.servers);
     return true;
 }
 
-void CrashLedger::acquit(const RequestFingerprint &request, const std::vector<ServerName> &servers)
+void CrashLedger::retract(const RequestFingerprint &request, const std::vector<ServerName> &servers)
 {
-    auto place = std::ranges::find(m_acquittals, request, &CrashAcquittal::request);
-    if (place == m_acquittals.end()) {
-        if (m_acquittals.size() >= mostAcquittals)
-            m_acquittals.erase(m_acquittals.begin());
-        place = m_acquittals.insert(m_acquittals.end(), {request, {}});
+    auto place = std::ranges::find(m_retractions, request, &CrashRetraction::request);
+    if (place == m_retractions.end()) {
+        if (m_retractions.size() >= mostRetractions)
+            m_retractions.erase(m_retractions.begin());
+        place = m_retractions.insert(m_retractions.end(), {request, {}});
     }
     for (const ServerName &server : servers) {
         if (std::ranges::find(place->servers, server) == place->servers.end())
@@ -101,8 +101,8 @@
     // What an earlier run of this daemon saw still holds, and others know of it.
     const bool wasUntold = m_isUntold;
     reported(row->reports, now);
-    for (const CrashAcquittal &acquittal : row->acquittals)
-        acquit(acquittal.request, acquittal.servers);
+    for (const CrashRetraction &retraction : row->retractions)
+        retract(retraction.request, retraction.servers);
     m_isUntold = wasUntold;
 }
 
@@ -159,8 +159,8 @@
 /** \returns how many servers ended under \a request by all that daemons have told each other. */
 std::size_t CrashLedger::endsToOthers(const RequestFingerprint &request) const
 {
-    Acquitted told = acquittedByOthers();
-    addTo(told, m_written.acquittals);
+    Retracted told = retractedByOthers();
+    addTo(told, m_written.retractions);
     std::set<ServerName> servers;
     for (const CrashReport *report : allReports()) {
         if (report->request == request && !told.contains({request, report->server}))
@@ -210,12 +210,12 @@
 {
     suspects();
     std::erase_if(m_reports, [this](const OwnReport &own) {
-        return m_acquitted.contains({own.report.request, own.report.server});
+        return m_retracted.contains({own.report.request, own.report.server});
     });
-    std::erase_if(m_acquittals, [this](const CrashAcquittal &acquittal) {
-        return std::ranges::none_of(m_others, [&acquittal](const auto &other) {
+    std::erase_if(m_retractions, [this](const CrashRetraction &retraction) {
+        return std::ranges::none_of(m_others, [&retraction](const auto &other) {
             const std::vector<CrashReport> &reports = other.second.row.reports;
-            return std::ranges::find(reports, acquittal.request, &CrashReport::request)
+            return std::ranges::find(reports, retraction.request, &CrashReport::request)
                 != reports.end();
         });
     });
@@ -236,12 +236,12 @@
 
 void CrashLedger::judge()
 {
-    m_acquitted = acquittedByOthers();
-    addTo(m_acquitted, m_acquittals);
+    m_retracted = retractedByOthers();
+    addTo(m_retracted, m_retractions);
     m_suspects.clear();
     std::vector<const CrashReport *> counted;
     for (const CrashReport *report : allReports()) {
-        if (m_acquitted.contains({report->request, report->server}))
+        if (m_retracted.contains({report->request, report->server}))
             continue;
         counted.push_back(report);
         std::vector<ServerName> &servers = m_suspects[report->request].servers;
@@ -270,19 +270,19 @@
     return reports;
 }
 
-CrashLedger::Acquitted CrashLedger::acquittedByOthers() const
+CrashLedger::Retracted CrashLedger::retractedByOthers() const
 {
-    Acquitted acquitted;
+    Retracted retracted;
     for (const auto &[host, other] : m_others)
-        addTo(acquitted, other.row.acquittals);
-    return acquitted;
+        addTo(retracted, other.row.retractions);
+    return retracted;
 }
 
-void CrashLedger::addTo(Acquitted &acquitted, const std::vector<CrashAcquittal> &acquittals)
+void CrashLedger::addTo(Retracted &retracted, const std::vector<CrashRetraction> &retractions)
 {
-    for (const CrashAcquittal &acquittal : acquittals) {
-        for (const ServerName &server : acquittal.servers)
-            acquitted.emplace(acquittal.request, server);
+    for (const CrashRetraction &retraction : retractions) {
+        for (const ServerName &server : retraction.servers)
+            retracted.emplace(retraction.request, server);
     }
 }
 
@@ -296,7 +296,7 @@
 
 CrashRow CrashLedger::ownRow() const
 {
-    CrashRow row{{}, m_acquittals};
+    CrashRow row{{}, m_retractions};
     for (const OwnReport &own : m_reports)
         row.reports.push_back(own.report);
     return row;
--- a/src/libbulrush/process/crashledger.h
+++ b/src/libbulrush/process/crashledger.h
@@ -41,7 +41,7 @@
     static constexpr Duration memory = std::chrono::hours{1};
     /** Of a row: some 80 bytes each, so that 195 full rows have half a megabyte. */
     static constexpr std::size_t mostReports = 32;
-    static constexpr std::size_t mostAcquittals = 32;
+    static constexpr std::size_t mostRetractions = 32;
     /** An answer is told at once where as many servers have ended: one more blocks the request. */
     static constexpr std::size_t tellingCrashes = 2;
     /**
@@ -104,11 +104,11 @@
     };
 
     using Suspects = Quarantine::Suspects;
-    using Acquitted = std::set<std::pair<RequestFingerprint, ServerName>>;
+    using Retracted = std::set<std::pair<RequestFingerprint, ServerName>>;
 
     void ownRowSeen(std::uint64_t version, const std::optional<CrashRow> &row, Instant now);
-    bool acquitSuspect(const RequestFingerprint &request);
-    void acquit(const RequestFingerprint &request, const std::vector<ServerName> &servers);
+    bool retractSuspect(const RequestFingerprint &request);
+    void retract(const RequestFingerprint &request, const std::vector<ServerName> &servers);
     bool isTellingDue(Instant now);
     void forgetOld(Instant now);
     void forgetNeedless();
@@ -116,15 +116,15 @@
     const Suspects &suspects();
     void judge();
     std::vector<const CrashReport *> allReports() const;
-    Acquitted acquittedByOthers() const;
-    static void addTo(Acquitted &acquitted, const std::vector<CrashAcquittal> &acquittals);
+    Retracted retractedByOthers() const;
+    static void addTo(Retracted &retracted, const std::vector<CrashRetraction> &retractions);
     std::size_t endsToOthers(const RequestFingerprint &request) const;
     Instant tellAt(const RequestFingerprint &request, Instant now) const;
     CrashRow ownRow() const;
 
     HostName m_self;
     std::vector<OwnReport> m_reports;
-    std::vector<CrashAcquittal> m_acquittals;
+    std::vector<CrashRetraction> m_retractions;
     std::map<HostName, OtherRow> m_others;
     /** What this daemon's row says, as it was written last. */
     CrashRow m_written;
@@ -142,7 +142,7 @@
     SuspectTrials m_trials;
     /** By all rows; judged anew when it is asked for. */
     Suspects m_suspects;
-    Acquitted m_acquitted;
+    Retracted m_retracted;
     bool m_isJudged = true;
     /** What is known has changed since it was last handed on. */
     bool m_isChanged = false;
--- a/src/libbulrush/process/crashrecord.h
+++ b/src/libbulrush/process/crashrecord.h
@@ -21,20 +21,20 @@
 };
 
 /** A request was answered by a server, after others had ended under it. */
-struct CrashAcquittal
+struct CrashRetraction
 {
     RequestFingerprint request;
     /** Those that had ended: not for this request. */
     std::vector<ServerName> servers;
 
-    bool operator==(const CrashAcquittal &) const = default;
+    bool operator==(const CrashRetraction &) const = default;
 };
 
 /** What one daemon has seen, as it tells the others. */
 struct CrashRow
 {
     std::vector<CrashReport> reports;
-    std::vector<CrashAcquittal> acquittals;
+    std::vector<CrashRetraction> retractions;
 
     bool operator==(const CrashRow &) const = default;
 };
--- a/src/libbulrushio/version/crashrowcodec.cpp
+++ b/src/libbulrushio/version/crashrowcodec.cpp
@@ -28,11 +28,11 @@
     return json;
 }
 
-Json::Value jsonOf(const CrashAcquittal &acquittal)
+Json::Value jsonOf(const CrashRetraction &retraction)
 {
     Json::Value json;
-    json["request"] = acquittal.request.toString();
-    json["servers"] = io::jsonOf(acquittal.servers);
+    json["request"] = retraction.request.toString();
+    json["servers"] = io::jsonOf(retraction.servers);
     return json;
 }
 
@@ -46,13 +46,13 @@
     return report;
 }
 
-std::optional<CrashAcquittal> acquittalOf(const Json::Value &json)
+std::optional<CrashRetraction> retractionOf(const Json::Value &json)
 {
     JsonReader reader{json};
-    CrashAcquittal acquittal{requestOf(reader), readServerNames(reader, "servers")};
+    CrashRetraction retraction{requestOf(reader), readServerNames(reader, "servers")};
     if (!reader.isGood())
         return std::nullopt;
-    return acquittal;
+    return retraction;
 }
 
 } // namespace
@@ -62,12 +62,12 @@
     Json::Value reports{Json::arrayValue};
     for (const CrashReport &report : row.reports)
         reports.append(jsonOf(report));
-    Json::Value acquittals{Json::arrayValue};
-    for (const CrashAcquittal &acquittal : row.acquittals)
-        acquittals.append(jsonOf(acquittal));
+    Json::Value retractions{Json::arrayValue};
+    for (const CrashRetraction &retraction : row.retractions)
+        retractions.append(jsonOf(retraction));
     Json::Value json;
     json["reports"] = std::move(reports);
-    json["acquittals"] = std::move(acquittals);
+    json["retractions"] = std::move(retractions);
     return compactText(json);
 }
 
@@ -82,11 +82,11 @@
             return std::nullopt;
         row.reports.push_back(std::move(*report));
     }
-    for (const Json::Value &entry : reader.list("acquittals")) {
-        std::optional<CrashAcquittal> acquittal = acquittalOf(entry);
-        if (!acquittal)
+    for (const Json::Value &entry : reader.list("retractions")) {
+        std::optional<CrashRetraction> retraction = retractionOf(entry);
+        if (!retraction)
             return std::nullopt;
-        row.acquittals.push_back(std::move(*acquittal));
+        row.retractions.push_back(std::move(*retraction));
     }
     if (!reader.isGood())
         return std::nullopt;
--- a/tests/crashes/test_crashcodec.cpp
+++ b/tests/crashes/test_crashcodec.cpp
@@ -33,8 +33,8 @@
     for (std::size_t length = 0; length + 1 < text.size(); ++length)
         BOOST_TEST(!io::decodeCrashRow(text.substr(0, length)).has_value());
     for (const std::string other :
-         {"[]", "{}", R"({"reports":[7],"acquittals":[]})",
-          R"({"reports":[{"request":"7","server":"s","after":[]}],"acquittals":[]})",
-          R"({"reports":[],"acquittals":[{"request":"0123456789abcdef","servers":[7]}]})"})
+         {"[]", "{}", R"({"reports":[7],"retractions":[]})",
+          R"({"reports":[{"request":"7","server":"s","after":[]}],"retractions":[]})",
+          R"({"reports":[],"retractions":[{"request":"0123456789abcdef","servers":[7]}]})"})
         BOOST_TEST(!io::decodeCrashRow(other).has_value());
 }
--- a/tests/crashes/test_crashworld.cpp
+++ b/tests/crashes/test_crashworld.cpp
@@ -367,7 +367,7 @@
     world.play(60s, 400ms, true);
     for (const World::Row &row : world.rows) {
         BOOST_TEST(row.row.reports.size() <= CrashLedger::mostReports);
-        BOOST_TEST(row.row.acquittals.size() <= CrashLedger::mostAcquittals);
+        BOOST_TEST(row.row.retractions.size() <= CrashLedger::mostRetractions);
     }
     BOOST_TEST_MESSAGE(size.hosts << " daemons: " << world.writes << " writes in 60 s");
 }
