--- a/src/libbulrush/process/crashledger.h
+++ b/src/libbulrush/process/crashledger.h
@@ -5,6 +5,7 @@
 #include "process/plannerlease.h"
 #include "process/quarantine.h"
 #include "process/retrypause.h"
+#include "process/suspecttrials.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -40,7 +41,7 @@
     static constexpr Duration memory = std::chrono::hours{1};
     /** Of a row: some 80 bytes each, so that 195 full rows have half a megabyte. */
     static constexpr std::size_t mostReports = 32;
-    static constexpr std::size_t mostAcquittals = 32;
+    static constexpr std::size_t mostRetractions = 32;
     /** An answer is told at once where as many servers have ended: one more blocks the request. */
     static constexpr std::size_t tellingCrashes = 2;
     /**
@@ -70,6 +71,9 @@
     void rowSeen(const HostName &host, std::uint64_t version, std::optional<CrashRow> row,
                  Instant now);
 
+    /** Takes in the daemons that have rows of any kind. */
+    void setDaemons(std::vector<HostName> daemons);
+
     /** Notes that all rows there are have been seen. */
     void rowsSeen();
 
@@ -83,7 +87,7 @@
     void written(RowWriteEnd end, std::uint64_t version, Instant now);
 
     /** \returns what is known, if it has changed since the last call, or null. */
-    std::shared_ptr<const Quarantine> changed();
+    std::shared_ptr<const Quarantine> changed(Instant now);
 
 private:
     struct OwnReport
@@ -99,12 +103,12 @@
         Instant seenAt;
     };
 
-    using Suspects = std::map<RequestFingerprint, SuspectRequest>;
-    using Acquitted = std::set<std::pair<RequestFingerprint, ServerName>>;
+    using Suspects = Quarantine::Suspects;
+    using Retracted = std::set<std::pair<RequestFingerprint, ServerName>>;
 
     void ownRowSeen(std::uint64_t version, const std::optional<CrashRow> &row, Instant now);
-    bool acquitSuspect(const RequestFingerprint &request);
-    void acquit(const RequestFingerprint &request, const std::vector<ServerName> &servers);
+    bool retractSuspect(const RequestFingerprint &request);
+    void retract(const RequestFingerprint &request, const std::vector<ServerName> &servers);
     bool isTellingDue(Instant now);
     void forgetOld(Instant now);
     void forgetNeedless();
@@ -112,15 +116,15 @@
     const Suspects &suspects();
     void judge();
     std::vector<const CrashReport *> allReports() const;
-    Acquitted acquittedByOthers() const;
-    static void addTo(Acquitted &acquitted, const std::vector<CrashAcquittal> &acquittals);
+    Retracted retractedByOthers() const;
+    static void addTo(Retracted &retracted, const std::vector<CrashRetraction> &retractions);
     std::size_t endsToOthers(const RequestFingerprint &request) const;
     Instant tellAt(const RequestFingerprint &request, Instant now) const;
     CrashRow ownRow() const;
 
     HostName m_self;
     std::vector<OwnReport> m_reports;
-    std::vector<CrashAcquittal> m_acquittals;
+    std::vector<CrashRetraction> m_retractions;
     std::map<HostName, OtherRow> m_others;
     /** What this daemon's row says, as it was written last. */
     CrashRow m_written;
@@ -135,9 +139,10 @@
     bool m_hasRows = false;
     /** The own row was seen or written: it says nothing that is not known here. */
     bool m_hasOwnRow = false;
+    SuspectTrials m_trials;
     /** By all rows; judged anew when it is asked for. */
     Suspects m_suspects;
-    Acquitted m_acquitted;
+    Retracted m_retracted;
     bool m_isJudged = true;
     /** What is known has changed since it was last handed on. */
     bool m_isChanged = false;
