Keep what came from another daemon while all rows were read

What callers saw, or can: a host goes by a configuration that was replaced, with nothing to tell it so until the next change. Cause: a daemon that had lost the store reads all rows again; while that answer is under way, on a narrow link or from a slow store, another daemon tells it of a change; then the older answer replaced the rows but not the version, so that whoever followed this daemon was told the old row and that nothing had changed since. The guard that answers to waits had was missing for reads. What is known to have changed since is now put into the rows that were read, whichever table.

--- a/src/libbulrushentry/tablefollower.cpp
+++ b/src/libbulrushentry/tablefollower.cpp
@@ -231,8 +231,11 @@
     if (outcome.skipped > 0)
         io::logEvent(LogLevel::Error, "rows-unreadable",
                      {{"table", m_table}, {"count", std::to_string(outcome.skipped)}});
-    // What a confirmation has brought already must not be undone by a call that was sent before.
-    if (!isWhole && outcome.version <= m_version)
+    const std::uint64_t storeVersion = outcome.version;
+    // What has come from elsewhere meanwhile must not be undone by a call that was sent before.
+    if (isWhole)
+        bringUpToDate(outcome);
+    else if (outcome.version <= m_version)
         outcome.rows.clear();
     const bool isAfterOutage = wasAway(now);
     const Instant unchangedUntil = m_knownAt;
@@ -244,10 +247,29 @@
     remember(outcome, isWhole, isAfterOutage);
     if (isWhole || !outcome.rows.empty())
         m_changed({std::move(outcome.rows), m_version, isWhole, isAfterOutage, unchangedUntil});
-    m_parts.group.noteStoreVersion(outcome.version, givenAt);
+    m_parts.group.noteStoreVersion(storeVersion, givenAt);
     return givenAt;
 }
 
+/** Puts into all rows of the store what is known to have changed since they were read. */
+void TableFollower::bringUpToDate(platform::RowsOutcome &outcome) const
+{
+    if (outcome.version >= m_version)
+        return;
+    RelayedRows known = rowsSince(outcome.version, m_knownAt);
+    outcome.version = known.version;
+    if (known.isWhole) {
+        outcome.rows = std::move(known.rows);
+        return;
+    }
+    for (platform::StoreRow &later : known.rows) {
+        std::erase_if(outcome.rows,
+                      [&later](const platform::StoreRow &row) { return row.key == later.key; });
+        if (!later.isRemoved)
+            outcome.rows.push_back(std::move(later));
+    }
+}
+
 /** Sees to it that the rows are confirmed, and that it shows when they can't be. */
 void TableFollower::look(Instant now)
 {
--- a/src/libbulrushentry/tablefollower.h
+++ b/src/libbulrushentry/tablefollower.h
@@ -175,6 +175,7 @@
     void confirmAtStore(Instant now);
     void confirmed(platform::RowsOutcome outcome, Instant sentAt);
     Instant adopt(platform::RowsOutcome outcome, bool isWhole, Instant sentAt);
+    void bringUpToDate(platform::RowsOutcome &outcome) const;
     void remember(const platform::RowsOutcome &outcome, bool isWhole, bool isAfterOutage);
     void noteKnown(Instant asOf);
     bool wasAway(Instant now) const;
--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -319,6 +319,17 @@
     control(json);
 }
 
+void EntryFleet::delayReads(const std::string &host, const std::string &table,
+                            std::chrono::milliseconds delay)
+{
+    Json::Value json;
+    json["faults"]["entrance"] = host;
+    json["faults"]["mode"] = "ok";
+    json["faults"]["delayReadsOf"] = table;
+    json["faults"]["delayMs"] = Json::Int64{delay.count()};
+    control(json);
+}
+
 std::uint64_t EntryFleet::storeCalls(const std::string &host)
 {
     return control(Json::Value{Json::objectValue})["calls"][host].asUInt64();
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -111,6 +111,10 @@
     /** Has the store lose its next answer to \a host's wait for changes of \a table. */
     void loseFeedAnswer(const std::string &host, const std::string &table);
 
+    /** Has the store answer \a host's reads of \a table after \a delay, by what it was before. */
+    void delayReads(const std::string &host, const std::string &table,
+                    std::chrono::milliseconds delay);
+
     /** \returns how many calls \a host's daemon has made to the store. */
     std::uint64_t storeCalls(const std::string &host);
 
--- a/tests/standins/store/storeserver.cpp
+++ b/tests/standins/store/storeserver.cpp
@@ -117,7 +117,7 @@
     if (path == "/api/rows-tx")
         transact(entrance, request);
     else if (path == "/api/rows-get")
-        get(request);
+        get(entrance, request);
     else if (path == "/api/rows-feed")
         follow(entrance, request);
     else
@@ -179,7 +179,7 @@
     Listener::send(request, answer);
 }
 
-void StoreServer::get(const RequestHandle &request)
+void StoreServer::get(const Entrance &entrance, const RequestHandle &request)
 {
     const auto query = restinio::parse_query(request->header().query());
     std::vector<HeldRow> rows = m_rows.rows(argument(query, "table"), argument(query, "from"));
@@ -188,7 +188,14 @@
         rows.resize(pageRows);
     Json::Value json = jsonOf(rows, m_rows.version());
     json["truncated"] = isTruncated;
-    Listener::send(request, jsonAnswer(200, json));
+    if (entrance.readsToDelay != argument(query, "table")) {
+        Listener::send(request, jsonAnswer(200, json));
+        return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(m_loop, entrance.delay);
+    timer->async_wait([timer, request, json](const asio::error_code &) {
+        Listener::send(request, jsonAnswer(200, json));
+    });
 }
 
 void StoreServer::follow(Entrance &entrance, const RequestHandle &request)
@@ -295,6 +302,7 @@
         entrance->writesToDelay = json["delayWrites"].asInt();
         entrance->delay = std::chrono::milliseconds{json["delayMs"].asInt()};
         entrance->feedToLose = json["loseFeedOf"].asString();
+        entrance->readsToDelay = json["delayReadsOf"].asString();
         if (entrance->mode != StoreMode::Reset)
             continue;
         for (auto place = m_waiting.begin(); place != m_waiting.end();) {
--- a/tests/standins/store/storeserver.h
+++ b/tests/standins/store/storeserver.h
@@ -54,6 +54,8 @@
         /** Transactions that are done this much later, without an answer. */
         int writesToDelay = 0;
         std::chrono::milliseconds delay{0};
+        /** Reads of this table are answered after the delay, by what it was before. */
+        std::string readsToDelay;
         /** The next answer to a wait for changes of this table is lost; empty: none is. */
         std::string feedToLose;
         std::uint64_t calls = 0;
@@ -73,7 +75,7 @@
     void serve(Entrance &entrance, const RequestHandle &request);
     bool turnAway(Entrance &entrance, const RequestHandle &request);
     void transact(Entrance &entrance, const RequestHandle &request);
-    void get(const RequestHandle &request);
+    void get(const Entrance &entrance, const RequestHandle &request);
     void follow(Entrance &entrance, const RequestHandle &request);
     void answerWaiting();
     void answerFeed(const Waiting &waiting);
