Hand on what is kept from servers only when it has changed

Each change of ownership rows, several a second while keys move, had all suspects judged, hashed over all daemons and handed to the traffic thread again, as the daemons were taken for new each time. daemonsThatAreKnownAlreadyAreNoNews: red before.

--- a/src/libbulrush/process/crashledger.cpp
+++ b/src/libbulrush/process/crashledger.cpp
@@ -108,8 +108,8 @@
 
 void CrashLedger::setDaemons(std::vector<HostName> daemons)
 {
-    m_trials.setDaemons(std::move(daemons));
-    m_isChanged = m_isChanged || !suspects().empty();
+    if (m_trials.setDaemons(std::move(daemons)) && !suspects().empty())
+        m_isChanged = true;
 }
 
 void CrashLedger::rowsSeen()
--- a/src/libbulrush/process/suspecttrials.cpp
+++ b/src/libbulrush/process/suspecttrials.cpp
@@ -22,9 +22,12 @@
     : m_self(std::move(self))
 { }
 
-void SuspectTrials::setDaemons(std::vector<HostName> daemons)
+bool SuspectTrials::setDaemons(std::vector<HostName> daemons)
 {
+    if (m_daemons == daemons)
+        return false;
     m_daemons = std::move(daemons);
+    return true;
 }
 
 std::set<RequestFingerprint> SuspectTrials::leftToOthers(const Quarantine::Suspects &suspects,
--- a/src/libbulrush/process/suspecttrials.h
+++ b/src/libbulrush/process/suspecttrials.h
@@ -30,8 +30,8 @@
 
     explicit SuspectTrials(HostName self);
 
-    /** Takes in the daemons that have rows. */
-    void setDaemons(std::vector<HostName> daemons);
+    /** Takes in the daemons that have rows. \returns whether they are others than before. */
+    bool setDaemons(std::vector<HostName> daemons);
 
     /** \returns which of \a suspects another daemon is to try. */
     std::set<RequestFingerprint> leftToOthers(const Quarantine::Suspects &suspects, Instant now);
--- a/tests/crashes/test_crashledger.cpp
+++ b/tests/crashes/test_crashledger.cpp
@@ -295,3 +295,14 @@
     BOOST_REQUIRE(third.has_value());
     BOOST_TEST(third->expectedVersion == 7U);
 }
+
+BOOST_FIXTURE_TEST_CASE(daemonsThatAreKnownAlreadyAreNoNews, Daemons)
+{
+    at(0).setDaemons(hosts);
+    see(0, bad, server(1));
+    BOOST_TEST((at(0).changed(now) != nullptr));
+    at(0).setDaemons(hosts);
+    BOOST_TEST((at(0).changed(now) == nullptr));
+    at(0).setDaemons({hosts[0], hosts[1]});
+    BOOST_TEST((at(0).changed(now) != nullptr));
+}
