Decide in one place whether a request may go to a server

The exchange and the model that searches the decision each put it together from what is blocked, left to others and answered lately; a change of one would have left the other behind. passageOf() serves both, without a network; a stale comment went with it.

--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -69,9 +69,9 @@
         exchange->quarantineChanged();
 }
 
-bool ForwardContext::isSuspect(const RequestFingerprint &request, Instant now) const
+RequestPassage ForwardContext::passage(const RequestFingerprint &request) const
 {
-    return !quarantine->endedUnder(request).empty() && !answered.contains(request, now);
+    return passageOf(request, *quarantine, answered, io::hostNow());
 }
 
 void ForwardContext::serverEnded(const ServerName &server, std::string_view sign)
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -2,11 +2,10 @@
 
 #include "connection/serverclient.h"
 #include "entrycounters.h"
-#include "process/answeredrequests.h"
 #include "process/crashwatch.h"
 #include "process/entrysettings.h"
 #include "process/looptimers.h"
-#include "process/quarantine.h"
+#include "process/requestpassage.h"
 #include "process/retrybudgets.h"
 #include "process/routingknowledge.h"
 #include "process/routingstate.h"
@@ -79,10 +78,8 @@
     /** Takes in which requests are kept from servers, and refuses those that wait here. */
     void setQuarantine(std::shared_ptr<const Quarantine> published);
 
-    /**
-     * \returns whether servers have ended under \a request, and none is known to have answered it.
-     */
-    bool isSuspect(const RequestFingerprint &request, Instant now) const;
+    /** \returns whether \a request may go to a server now. */
+    RequestPassage passage(const RequestFingerprint &request) const;
 
     /** Notes that the run \a server has ended, by what shows it, and reports what it was at. */
     void serverEnded(const ServerName &server, std::string_view sign);
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -41,8 +41,7 @@
 constexpr Duration answerTravel = std::chrono::milliseconds{4};
 /** Characters of a request's path and query that a log line gives at most. */
 constexpr std::size_t loggedPath = 80;
-/** Why a request is refused while another copy of it, here or elsewhere, shows whether it is bad.
- */
+/** Why a request is refused while another copy shows whether it is to blame. */
 constexpr std::string_view mayCrash = "may-crash-servers";
 
 std::string retryAfter(std::uint64_t hash)
@@ -167,19 +166,17 @@
         {head.method, host ? std::string_view{host->value} : "", head.target, *m_body}};
 }
 
-/** \returns whether the request was refused, as it has ended each server that ran it. */
-bool ForwardExchange::refuseIfBlocked()
+/** \returns whether the request was refused, as it crashes servers, or others find out if it does.
+ */
+bool ForwardExchange::refuseIfHeldBack()
 {
     if (!m_fingerprint)
         return false;
-    const bool isBlocked = m_context.quarantine->blocks(*m_fingerprint);
-    const Instant now = io::hostNow();
-    const bool isLeft = m_context.quarantine->isLeftToOthers(*m_fingerprint)
-        && m_context.answered.isPopularityKnown(now) && m_context.isSuspect(*m_fingerprint, now);
-    if (!isBlocked && !isLeft)
+    const RequestPassage passage = m_context.passage(*m_fingerprint);
+    if (passage != RequestPassage::Blocked && passage != RequestPassage::LeftToOthers)
         return false;
     m_context.counters.add(EntryCounter::RefusedCrashing);
-    if (isBlocked)
+    if (passage == RequestPassage::Blocked)
         refuseNotRun("crashes-servers", ComeBack::Never);
     else
         refuseNotRun(mayCrash);
@@ -189,7 +186,7 @@
 /** \returns whether the request may be sent: it is no suspect, or no copy of it is at a server. */
 bool ForwardExchange::beginTrial()
 {
-    if (!m_context.isSuspect(*m_fingerprint, io::hostNow()))
+    if (m_context.passage(*m_fingerprint) == RequestPassage::Free)
         return true;
     m_isTrial = m_context.trials.insert(*m_fingerprint).second;
     return m_isTrial;
@@ -204,12 +201,12 @@
 void ForwardExchange::quarantineChanged()
 {
     if (!m_isOver && !m_call)
-        refuseIfBlocked();
+        refuseIfHeldBack();
 }
 
 void ForwardExchange::enqueue(Instant notBefore)
 {
-    if (refuseIfBlocked())
+    if (refuseIfHeldBack())
         return;
     WaitingRequest waiting;
     waiting.ticket = m_ticket;
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -40,7 +40,7 @@
     /** Refuses the request, which waited in the queue, as not run. */
     void refuse(std::string_view reason);
 
-    /** Refuses the request if it is kept from servers by now, and none has it. */
+    /** Refuses the request if it is held back by now, and no server has it. */
     void quarantineChanged();
 
 private:
@@ -48,7 +48,7 @@
     bool admitKey();
     void readBody();
     void noteFingerprint();
-    bool refuseIfBlocked();
+    bool refuseIfHeldBack();
     bool beginTrial();
     void endTrial();
     void noteLoss(CrashWatch::Loss loss);
--- a/tests/crashes/test_crashworld.cpp
+++ b/tests/crashes/test_crashworld.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE CrashWorlds
 
-#include "process/answeredrequests.h"
 #include "process/crashledger.h"
+#include "process/requestpassage.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -94,15 +94,14 @@
         return names;
     }
 
-    /** \returns whether the host is to leave a copy of \a request alone for now. */
-    bool isHeldBack(const RequestFingerprint &request, const Host &host, std::size_t index) const
+    bool isHeldBack(const RequestFingerprint &request, std::size_t index) const
     {
-        if (host.known.endedUnder(request).empty() || host.answered.contains(request, now))
-            return false;
-        return (host.known.isLeftToOthers(request) && host.answered.isPopularityKnown(now))
-            || std::ranges::any_of(works, [&](const Work &work) {
-                   return work.host == index && work.request == request;
-               });
+        const Host &host = hosts[index];
+        const RequestPassage passage = passageOf(request, host.known, host.answered, now);
+        if (passage != RequestPassage::OneAtATime)
+            return passage != RequestPassage::Free;
+        return std::ranges::any_of(
+            works, [&](const Work &work) { return work.host == index && work.request == request; });
     }
 
     std::size_t below(std::size_t count)
@@ -129,16 +128,11 @@
 
     void send(const RequestFingerprint &request, std::size_t host, int attempt)
     {
-        const Quarantine &known = hosts[host].known;
-        if (known.blocks(request)) {
+        if (isHeldBack(request, host)) {
             ++refused[request];
             return;
         }
-        if (isHeldBack(request, hosts[host], host)) {
-            ++refused[request];
-            return;
-        }
-        const auto after = known.endedUnder(request);
+        const auto after = hosts[host].known.endedUnder(request);
         if (attempt > 1 && !after.empty())
             return;
         const std::size_t server = below(servers.size());
