--- a/src/libbulrushio/connection/serverconnection.cpp
+++ b/src/libbulrushio/connection/serverconnection.cpp
@@ -109,11 +109,7 @@
         });
         return;
     }
-    m_timer.expires_after(std::min(m_call.connectTimeout, m_call.timeout));
-    m_timer.async_wait([self = shared_from_this()](asio::error_code failure) {
-        if (!failure)
-            self->timedOut();
-    });
+    startTimer(hostNow() + std::min(m_call.connectTimeout, m_call.timeout));
     m_socket.async_connect(
         {address, m_server.port},
         [self = shared_from_this()](asio::error_code failure) { self->connected(failure); });
@@ -231,10 +227,9 @@
                                      : TransportError::ConnectionLost);
 }
 
-/** Gives the call up at \a deadline, and not before. */
+/** Gives up what the connection is at, at \a deadline and not before. */
 void ServerConnection::startTimer(Instant deadline)
 {
-    m_deadline = deadline;
     m_timer.expires_after(std::max(Duration::zero(), deadline - hostNow()));
     m_timer.async_wait([self = shared_from_this()](asio::error_code failure) {
         if (!failure)
@@ -242,11 +237,18 @@
     });
 }
 
+void ServerConnection::extendDeadline(Instant deadline)
+{
+    if (deadline <= m_deadline)
+        return;
+    m_deadline = deadline;
+    startTimer(m_deadline);
+}
+
 void ServerConnection::takeBytes(std::string_view bytes)
 {
-    const Instant answerBy = hostNow() + m_call.answerWithin;
-    if (!m_parser.hasBegun() && answerBy > m_deadline)
-        startTimer(answerBy);
+    if (!m_parser.hasBegun() && m_call.answerWithin > Duration::zero())
+        extendDeadline(hostNow() + m_call.answerWithin);
     while (!bytes.empty()) {
         bytes.remove_prefix(m_parser.feed(bytes));
         if (m_parser.error()) {
--- a/src/libbulrushio/connection/serverconnection.h
+++ b/src/libbulrushio/connection/serverconnection.h
@@ -81,6 +81,7 @@
     void read();
     void received(std::error_code error, std::size_t length);
     void startTimer(Instant deadline);
+    void extendDeadline(Instant deadline);
     void takeBytes(std::string_view bytes);
     /** \returns whether the answer is the call's own; another's is dropped. */
     bool takeAnswer(bool isLast);
