--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -12,21 +12,24 @@
 
 namespace {
 
+template<typename Budget>
+Confirmation confirmationBy(const Budget &budget)
+{
+    return {budget.askBesideAfter(), budget.confirmAfter(), budget.confirmWithin()};
+}
+
 /** Changes come at once, and seldom: confirmations bound for how long a lost answer hides one. */
 FollowPace configPace(const ConfigBudget &budget)
 {
     constexpr Duration wait = std::chrono::seconds{10};
-    return {wait,
-            {},
-            budget.readerConfirmAfter(),
-            Confirmation{budget.askBesideAfter(), budget.confirmAfter(), budget.confirmWithin()}};
+    return {wait, {}, budget.readerConfirmAfter(), confirmationBy(budget)};
 }
 
 /** Servers that start write often, and one that leaves is to be heard of in time. */
 FollowPace serverPace(const DrainBudget &budget)
 {
     return {budget.readerWait(), budget.readerPause(), budget.askBesideAfter(),
-            Confirmation{budget.askBesideAfter(), budget.confirmAfter(), budget.confirmWithin()}};
+            confirmationBy(budget)};
 }
 
 } // namespace
