--- a/tests/rowsworld/rowsworld.cpp
+++ b/tests/rowsworld/rowsworld.cpp
@@ -1,7 +1,6 @@
 #include "rowsworld.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace bulrush::test {
@@ -28,8 +27,6 @@
 constexpr Duration transferStep = 10ms;
 /** The store's answers have rows in base64. */
 constexpr double storeLength = 4.0 / 3.0;
-/** In place of a daemon's index: the store, whose link is wide. */
-constexpr std::size_t storeIndex = std::numeric_limits<std::size_t>::max();
 
 std::size_t storeBytes(std::size_t bytes)
 {
@@ -76,23 +73,12 @@
     Instant newsAfter;
 };
 
-/** An answer on its way. */
-struct RowsWorld::Transfer
-{
-    std::size_t from = 0;
-    std::size_t to = 0;
-    double bytesLeft = 0.0;
-    Step arrived;
-    std::shared_ptr<const Exchange> exchange;
-};
-
 struct RowsWorld::Daemon
 {
     std::size_t index = 0;
     HostName host;
     DomainName domain;
     double processors = 0.0;
-    double bytesPerSecond = 0.0;
     /** Counts starts. */
     std::uint64_t life = 0;
     bool isUp = false;
@@ -125,7 +111,7 @@
         const double megabits =
             isStrong ? scenario.strongMegabitsPerSecond : scenario.weakMegabitsPerSecond;
         constexpr double bytesPerMegabit = 1e6 / 8;
-        daemon->bytesPerSecond = bytesPerMegabit * megabits;
+        m_links.addHost(bytesPerMegabit * megabits);
         daemon->link = LinkBudget{megabits};
         m_daemons.push_back(std::move(daemon));
         const auto spanMs = static_cast<std::uint64_t>(scenario.startSpan / 1ms);
@@ -172,42 +158,26 @@
 void RowsWorld::transfer(std::size_t from, std::size_t to, std::size_t bytes, Step arrived,
                          std::shared_ptr<const Exchange> exchange)
 {
-    if (from != storeIndex)
+    if (from != SharedLinks::wideSender)
         m_relayedBytes += bytes;
     if (bytes == 0) {
         after(transit(), std::move(arrived));
         return;
     }
-    m_transfers.push_back(
-        {from, to, static_cast<double>(bytes), std::move(arrived), std::move(exchange)});
-    if (m_transfers.size() == 1)
+    const bool wasIdle = m_links.isIdle();
+    const auto isWanted = [exchange = std::move(exchange)] {
+        return exchange->isOpen;
+    };
+    m_links.send({from, to, static_cast<double>(bytes), isWanted, std::move(arrived)});
+    if (wasIdle)
         after(transferStep, [this] { moveBytes(); });
 }
 
-/** Moves all bytes on: what is on one link shares it evenly. */
 void RowsWorld::moveBytes()
 {
-    std::erase_if(m_transfers, [](const Transfer &moving) { return !moving.exchange->isOpen; });
-    std::map<std::size_t, double> sending;
-    std::map<std::size_t, double> receiving;
-    for (const Transfer &moving : m_transfers) {
-        ++sending[moving.from];
-        ++receiving[moving.to];
-    }
-    const double seconds = std::chrono::duration<double>(transferStep).count();
-    std::vector<Step> arrived;
-    for (Transfer &moving : m_transfers) {
-        double rate = m_daemons[moving.to]->bytesPerSecond / receiving[moving.to];
-        if (moving.from != storeIndex)
-            rate = std::min(rate, m_daemons[moving.from]->bytesPerSecond / sending[moving.from]);
-        moving.bytesLeft -= rate * seconds;
-        if (moving.bytesLeft <= 0.0)
-            arrived.push_back(moving.arrived);
-    }
-    std::erase_if(m_transfers, [](const Transfer &moving) { return moving.bytesLeft <= 0.0; });
-    for (Step &step : arrived)
+    for (Step &step : m_links.advance(transferStep))
         after(transit(), std::move(step));
-    if (!m_transfers.empty())
+    if (!m_links.isIdle())
         after(transferStep, [this] { moveBytes(); });
 }
 
@@ -316,7 +286,7 @@
         }
         const std::uint64_t known = m_daemons[index]->tables[tableIndex].hasRows ? askedVersion : 0;
         transfer(
-            storeIndex, index, storeBytes(bytesOf(tableIndex, known, version)),
+            SharedLinks::wideSender, index, storeBytes(bytesOf(tableIndex, known, version)),
             [=, this] {
                 if (isSame())
                     handle(index, [=, this] {
--- a/tests/rowsworld/rowsworld.h
+++ b/tests/rowsworld/rowsworld.h
@@ -4,6 +4,7 @@
 #include "process/drainbudget.h"
 #include "process/followplan.h"
 #include "process/linkbudget.h"
+#include "sharedlinks.h"
 
 #include <array>
 #include <cstddef>
@@ -114,7 +115,6 @@
     struct Daemon;
     struct Exchange;
     struct Held;
-    struct Transfer;
     using Step = std::function<void()>;
 
     void after(Duration delay, Step step);
@@ -183,7 +183,7 @@
     std::size_t m_configBytes;
     /** Versions of the store that wrote a configuration. */
     std::vector<std::uint64_t> m_configVersions;
-    std::list<Transfer> m_transfers;
+    SharedLinks m_links;
     std::uint64_t m_relayedBytes = 0;
 };
 
