Keep the rows of a table in a class of their own, testable without a network

KnownRows has the rows, their version and those that were removed; test_knownrows shows among others that rows which were read earlier don't take back later changes. That no version is known is the version 0, where it was a condition beside it twice. Behaviour is as it was.

--- /dev/null
+++ b/src/libbulrushentry/knownrows.cpp
@@ -0,0 +1,75 @@
+#include "knownrows.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrush {
+
+void KnownRows::takeAll(const platform::RowsOutcome &all, bool isAfterOutage)
+{
+    m_rows.clear();
+    m_removed.clear();
+    m_removedSince = all.version;
+    m_isAfterOutage = isAfterOutage;
+    takeChanges(all);
+}
+
+void KnownRows::takeChanges(const platform::RowsOutcome &changes)
+{
+    m_version = std::max(m_version, changes.version);
+    m_areKnown = true;
+    put(changes.rows);
+    if (m_removed.size() > mostRemoved) {
+        m_removed.clear();
+        m_removedSince = m_version;
+    }
+}
+
+void KnownRows::put(const std::vector<platform::StoreRow> &rows)
+{
+    for (const platform::StoreRow &row : rows) {
+        if (row.isRemoved) {
+            m_rows.erase(row.key);
+            m_removed.push_back(row);
+        } else {
+            m_rows[row.key] = row;
+        }
+    }
+}
+
+void KnownRows::bringUpToDate(platform::RowsOutcome &all) const
+{
+    if (all.version >= m_version)
+        return;
+    RelayedRows known = since(all.version);
+    all.version = known.version;
+    if (known.isWhole) {
+        all.rows = std::move(known.rows);
+        return;
+    }
+    for (platform::StoreRow &later : known.rows) {
+        std::erase_if(all.rows,
+                      [&later](const platform::StoreRow &row) { return row.key == later.key; });
+        if (!later.isRemoved)
+            all.rows.push_back(std::move(later));
+    }
+}
+
+RelayedRows KnownRows::since(std::uint64_t version) const
+{
+    RelayedRows told;
+    told.version = m_version;
+    told.isWhole = version < m_removedSince;
+    told.isAfterOutage = told.isWhole && m_isAfterOutage;
+    for (const platform::StoreRow &row : m_removed) {
+        if (!told.isWhole && row.version > version)
+            told.rows.push_back(row);
+    }
+    for (const auto &[key, row] : m_rows) {
+        if (told.isWhole || row.version > version)
+            told.rows.push_back(row);
+    }
+    return told;
+}
+
+} // namespace bulrush
--- a/src/libbulrushentry/tablefollower.cpp
+++ b/src/libbulrushentry/tablefollower.cpp
@@ -56,7 +56,7 @@
 
 void TableFollower::next()
 {
-    const FollowedTable table{m_hasRows, m_pace.confirmation.has_value()};
+    const FollowedTable table{m_rows.areKnown(), m_pace.confirmation.has_value()};
     const FollowStep step = m_parts.plan.next(table, io::hostNow());
     std::visit([this](const auto &known) { carryOut(known); }, step);
 }
@@ -72,7 +72,7 @@
 {
     setSource(std::string{storeSource});
     m_chain = 0;
-    if (m_hasRows && !m_isAllWanted)
+    if (m_rows.areKnown() && !m_isAllWanted)
         followStore();
     else
         read();
@@ -84,7 +84,7 @@
     setSource(reader.host.value());
     // One that has read all rows anew since then tells all of them.
     m_parts.relay.follow(
-        reader.address, {m_table, m_hasRows ? m_version : 0},
+        reader.address, {m_table, m_rows.version()},
         [this, reader](FollowAnswer answer) { takenFromReader(reader, std::move(answer)); });
 }
 
@@ -106,7 +106,7 @@
     const bool isFirst = std::exchange(m_isFirstAtStore, false);
     const bool isUrgent = isFirst || m_isFailing || m_parts.plan.isStoreFailing();
     const Duration wait = isUrgent ? Duration::zero() : m_pace.wait;
-    m_wait = m_parts.store.follow(m_table, m_version, wait,
+    m_wait = m_parts.store.follow(m_table, m_rows.version(), wait,
                                   [this, sentAt](platform::RowsOutcome outcome) {
                                       m_wait.reset();
                                       taken(std::move(outcome), false, sentAt);
@@ -127,7 +127,7 @@
         return;
     }
     m_parts.plan.readerServed(reader.host);
-    if (answer.rows->version < m_version) {
+    if (answer.rows->version < m_rows.version()) {
         carryOut(AskLater{behindPause});
         return;
     }
@@ -154,21 +154,22 @@
 bool TableFollower::adoptRelayed(RelayedRows rows, Instant asOf)
 {
     // One that knows less than this daemon has no rows for it, nor can tell that they still hold.
-    if (rows.version < m_version)
+    if (rows.version < m_rows.version())
         return false;
     const Instant now = io::hostNow();
     const bool isAfterOutage = rows.isAfterOutage || wasAway(now);
-    const bool isNews = rows.version > m_version || !m_hasRows || (m_isAllWanted && rows.isWhole);
+    const bool isNews =
+        rows.version > m_rows.version() || !m_rows.areKnown() || (m_isAllWanted && rows.isWhole);
     if (!isNews && asOf <= m_knownAt)
         return false;
     const Instant unchangedUntil = m_knownAt;
     noteKnown(asOf);
     if (isNews) {
         const platform::RowsOutcome outcome{{}, std::move(rows.rows), rows.version};
-        m_version = rows.version;
         remember(outcome, rows.isWhole, isAfterOutage);
         if (rows.isWhole || !outcome.rows.empty())
-            m_changed({outcome.rows, m_version, rows.isWhole, isAfterOutage, unchangedUntil});
+            m_changed(
+                {outcome.rows, m_rows.version(), rows.isWhole, isAfterOutage, unchangedUntil});
     }
     m_answered(asOf);
     return true;
@@ -234,42 +235,23 @@
     const std::uint64_t storeVersion = outcome.version;
     // What has come from elsewhere meanwhile must not be undone by a call that was sent before.
     if (isWhole)
-        bringUpToDate(outcome);
-    else if (outcome.version <= m_version)
+        m_rows.bringUpToDate(outcome);
+    else if (outcome.version <= m_rows.version())
         outcome.rows.clear();
     const bool isAfterOutage = wasAway(now);
     const Instant unchangedUntil = m_knownAt;
-    m_version = std::max(m_version, outcome.version);
     noteKnown(givenAt);
     if (m_source == storeSource)
         logSource();
     recovered();
     remember(outcome, isWhole, isAfterOutage);
     if (isWhole || !outcome.rows.empty())
-        m_changed({std::move(outcome.rows), m_version, isWhole, isAfterOutage, unchangedUntil});
+        m_changed(
+            {std::move(outcome.rows), m_rows.version(), isWhole, isAfterOutage, unchangedUntil});
     m_parts.group.noteStoreVersion(storeVersion, givenAt);
     return givenAt;
 }
 
-/** Puts into all rows of the store what is known to have changed since they were read. */
-void TableFollower::bringUpToDate(platform::RowsOutcome &outcome) const
-{
-    if (outcome.version >= m_version)
-        return;
-    RelayedRows known = rowsSince(outcome.version, m_knownAt);
-    outcome.version = known.version;
-    if (known.isWhole) {
-        outcome.rows = std::move(known.rows);
-        return;
-    }
-    for (platform::StoreRow &later : known.rows) {
-        std::erase_if(outcome.rows,
-                      [&later](const platform::StoreRow &row) { return row.key == later.key; });
-        if (!later.isRemoved)
-            outcome.rows.push_back(std::move(later));
-    }
-}
-
 /** Sees to it that the rows are confirmed, and that it shows when they can't be. */
 void TableFollower::look(Instant now)
 {
@@ -277,7 +259,7 @@
     // skipped.
     const bool wasHeldUp = now - std::exchange(m_lookedAt, now) > 2 * lookEvery;
     m_isLookSkipped = wasHeldUp && !m_isLookSkipped;
-    if (!m_hasRows || m_isFailing || m_isLookSkipped)
+    if (!m_rows.areKnown() || m_isFailing || m_isLookSkipped)
         return;
     const Duration age = now - m_knownAt;
     if (m_source == storeSource && age >= m_pace.confirmAfter && !m_confirmingSince)
@@ -302,7 +284,7 @@
 {
     if (m_askedBeside > 0)
         return true;
-    const FollowQuestion question{m_table, m_version, now - m_knownAt};
+    const FollowQuestion question{m_table, m_rows.version(), now - m_knownAt};
     for (const RowsReader &reader : m_parts.plan.readersBeside(HostName{m_source}, now)) {
         ++m_askedBeside;
         m_parts.relay.askBeside(
@@ -341,7 +323,7 @@
 
 void TableFollower::noteStoreVersion(std::uint64_t version, Instant givenAt)
 {
-    if (!m_hasRows || version != m_version || givenAt <= m_knownAt)
+    if (!m_rows.areKnown() || version != m_rows.version() || givenAt <= m_knownAt)
         return;
     noteKnown(givenAt);
     m_answered(givenAt);
@@ -349,12 +331,12 @@
 
 void TableFollower::confirm()
 {
-    if (m_confirmingSince || !m_hasRows || m_isFailing || m_isReading)
+    if (m_confirmingSince || !m_rows.areKnown() || m_isFailing || m_isReading)
         return;
     const Instant sentAt = io::hostNow();
     m_confirmingSince = sentAt;
     m_waitDoubted = m_wait;
-    m_parts.store.follow(m_table, m_version, Duration::zero(),
+    m_parts.store.follow(m_table, m_rows.version(), Duration::zero(),
                          [this, sentAt](platform::RowsOutcome outcome) {
                              m_confirmingSince.reset();
                              confirmed(std::move(outcome), sentAt);
@@ -434,32 +416,18 @@
 void TableFollower::remember(const platform::RowsOutcome &outcome, bool isWhole, bool isAfterOutage)
 {
     if (isWhole) {
-        m_rows.clear();
-        m_removed.clear();
-        m_removedSince = outcome.version;
-        m_isAfterOutage = isAfterOutage;
+        m_rows.takeAll(outcome, isAfterOutage);
         m_isAllWanted = false;
+    } else {
+        m_rows.takeChanges(outcome);
     }
-    for (const platform::StoreRow &row : outcome.rows) {
-        if (row.isRemoved) {
-            m_rows.erase(row.key);
-            m_removed.push_back(row);
-        } else {
-            m_rows[row.key] = row;
-        }
-    }
-    if (m_removed.size() > mostRemoved) {
-        m_removed.clear();
-        m_removedSince = m_version;
-    }
-    m_hasRows = true;
 }
 
 void TableFollower::askPeers()
 {
     if (!m_isFailing)
         return;
-    m_parts.relay.ask({m_table, m_hasRows ? m_version : 0}, [this](FollowAnswer answer) {
+    m_parts.relay.ask({m_table, m_rows.version()}, [this](FollowAnswer answer) {
         // One that lost the store as well tells what it knew; whoever serves rows is followed.
         if (m_isFailing && answer.rows)
             adoptRelayed(std::move(*answer.rows), answer.asOf);
@@ -474,31 +442,16 @@
 
 bool TableFollower::isFresh(Instant now) const
 {
-    return m_hasRows && (!m_pace.confirmation || now - m_knownAt < m_pace.confirmation->after);
-}
-
-RelayedRows TableFollower::allRows(Instant askedAt) const
-{
-    RelayedRows relayed{{}, m_version, askedAt - m_knownAt, true, m_isAfterOutage, m_chain};
-    for (const auto &[key, row] : m_rows)
-        relayed.rows.push_back(row);
-    return relayed;
+    return m_rows.areKnown()
+        && (!m_pace.confirmation || now - m_knownAt < m_pace.confirmation->after);
 }
 
 RelayedRows TableFollower::rowsSince(std::uint64_t version, Instant askedAt) const
 {
-    if (version < m_removedSince)
-        return allRows(askedAt);
-    RelayedRows changes{{}, m_version, askedAt - m_knownAt, false, false, m_chain};
-    for (const platform::StoreRow &row : m_removed) {
-        if (row.version > version)
-            changes.rows.push_back(row);
-    }
-    for (const auto &[key, row] : m_rows) {
-        if (row.version > version)
-            changes.rows.push_back(row);
-    }
-    return changes;
+    RelayedRows told = m_rows.since(version);
+    told.age = askedAt - m_knownAt;
+    told.chain = m_chain;
+    return told;
 }
 
 } // namespace bulrush
--- a/src/libbulrushentry/tablefollower.h
+++ b/src/libbulrushentry/tablefollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "followergroup.h"
+#include "knownrows.h"
 #include "platform/storeclient.h"
 #include "process/followplan.h"
 #include "process/looptimers.h"
@@ -8,7 +9,6 @@
 #include "rowsrelay.h"
 
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -87,8 +87,6 @@
     static constexpr Duration confirmPatience = std::chrono::milliseconds{400};
     /** How often the age of rows that have to be confirmed is looked at. */
     static constexpr Duration lookEvery = std::chrono::milliseconds{50};
-    /** Removed rows that are remembered, so that others can follow by changes. */
-    static constexpr std::size_t mostRemoved = 1000;
     /**
      * Daemons between the store and this one, at most. While two that follow each other by rows
      * that differ take turns, each counts one more than the other, so that it ends here.
@@ -175,23 +173,16 @@
     void confirmAtStore(Instant now);
     void confirmed(platform::RowsOutcome outcome, Instant sentAt);
     Instant adopt(platform::RowsOutcome outcome, bool isWhole, Instant sentAt);
-    void bringUpToDate(platform::RowsOutcome &outcome) const;
     void remember(const platform::RowsOutcome &outcome, bool isWhole, bool isAfterOutage);
     void noteKnown(Instant asOf);
     bool wasAway(Instant now) const;
-    RelayedRows allRows(Instant askedAt) const;
 
     FollowParts m_parts;
     std::string m_table;
     FollowPace m_pace;
     ChangeHandler m_changed;
     AnswerHandler m_answered;
-    std::map<std::string, platform::StoreRow> m_rows;
-    /** Rows that were removed after m_removedSince. */
-    std::vector<platform::StoreRow> m_removed;
-    std::uint64_t m_removedSince = 0;
-    /** All rows were read after an outage of the store, and not followed over it. */
-    bool m_isAfterOutage = false;
+    KnownRows m_rows;
     /** Whom changes come from: "store", or a host. */
     std::string m_source;
     /** The one that told of rows last, as it was logged. */
@@ -202,10 +193,8 @@
     bool m_isFirstAtStore = false;
     /** Daemons between the store and this one. */
     unsigned m_chain = 0;
-    std::uint64_t m_version = 0;
     /** When the store, asked here or by another daemon, told last that there are no other rows. */
     Instant m_knownAt;
-    bool m_hasRows = false;
     /** Changes may have been missed: the next rows have to be all there are. */
     bool m_isAllWanted = false;
     /** The wait for changes at the store, while there is one. */
@@ -233,12 +222,12 @@
 
 inline bool TableFollower::hasRows() const
 {
-    return m_hasRows;
+    return m_rows.areKnown();
 }
 
 inline std::uint64_t TableFollower::version() const
 {
-    return m_version;
+    return m_rows.version();
 }
 
 inline bool TableFollower::isCutOff() const
--- /dev/null
+++ b/tests/knownrows/test_knownrows.cpp
@@ -0,0 +1,104 @@
+#define BOOST_TEST_MODULE KnownRow
+
+#include "knownrows.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace bulrush;
+
+namespace {
+
+platform::StoreRow row(const std::string &key, std::uint64_t version)
+{
+    return {key, key + std::to_string(version), version, false};
+}
+
+platform::StoreRow removed(const std::string &key, std::uint64_t version)
+{
+    return {key, {}, version, true};
+}
+
+platform::RowsOutcome rowsAt(std::uint64_t version, std::vector<platform::StoreRow> rows)
+{
+    return {{}, std::move(rows), version};
+}
+
+/** \returns the versions of rows by key, removed ones left out. */
+std::map<std::string, std::uint64_t> versionsOf(const std::vector<platform::StoreRow> &rows)
+{
+    std::map<std::string, std::uint64_t> versions;
+    for (const platform::StoreRow &known : rows) {
+        if (!known.isRemoved)
+            versions[known.key] = known.version;
+    }
+    return versions;
+}
+
+using Versions = std::map<std::string, std::uint64_t>;
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(othersAreToldWhatHasChangedSinceTheirVersion)
+{
+    KnownRows rows;
+    BOOST_TEST(!rows.areKnown());
+    BOOST_TEST(rows.version() == 0U);
+    rows.takeAll(rowsAt(10, {row("a", 3), row("b", 7)}), false);
+    rows.takeChanges(rowsAt(14, {row("a", 12), removed("b", 13)}));
+    const RelayedRows changes = rows.since(10);
+    BOOST_TEST(!changes.isWhole);
+    BOOST_TEST(changes.version == 14U);
+    BOOST_TEST(changes.rows.size() == 2U);
+    const RelayedRows all = rows.since(9);
+    BOOST_TEST(all.isWhole);
+    BOOST_TEST((versionsOf(all.rows) == Versions{{"a", 12}}));
+}
+
+BOOST_AUTO_TEST_CASE(rowsThatWereReadEarlierDontTakeBackLaterChanges)
+{
+    KnownRows rows;
+    rows.takeAll(rowsAt(10, {row("a", 3), row("b", 7), row("c", 8)}), false);
+    rows.takeChanges(rowsAt(20, {row("a", 18), removed("b", 19)}));
+    platform::RowsOutcome read = rowsAt(15, {row("a", 3), row("b", 7), row("d", 15)});
+    rows.bringUpToDate(read);
+    BOOST_TEST(read.version == 20U);
+    BOOST_TEST((versionsOf(read.rows) == Versions{{"a", 18}, {"d", 15}}));
+}
+
+BOOST_AUTO_TEST_CASE(rowsThatWereReadBeforeAllKnownOnesGiveWayToThem)
+{
+    KnownRows rows;
+    rows.takeAll(rowsAt(20, {row("a", 18)}), false);
+    platform::RowsOutcome read = rowsAt(15, {row("a", 3), row("b", 7)});
+    rows.bringUpToDate(read);
+    BOOST_TEST(read.version == 20U);
+    BOOST_TEST((versionsOf(read.rows) == Versions{{"a", 18}}));
+}
+
+BOOST_AUTO_TEST_CASE(rowsThatWereReadLaterStayAsTheyAre)
+{
+    KnownRows rows;
+    rows.takeAll(rowsAt(20, {row("a", 18), row("b", 19)}), false);
+    platform::RowsOutcome read = rowsAt(22, {row("a", 21)});
+    rows.bringUpToDate(read);
+    BOOST_TEST(read.version == 22U);
+    BOOST_TEST((versionsOf(read.rows) == Versions{{"a", 21}}));
+}
+
+BOOST_AUTO_TEST_CASE(tooManyRemovedRowsAreForgottenSoThatOthersAreToldAll)
+{
+    KnownRows rows;
+    rows.takeAll(rowsAt(1, {row("a", 1)}), true);
+    std::vector<platform::StoreRow> many;
+    for (std::size_t i = 0; i <= KnownRows::mostRemoved; ++i)
+        many.push_back(removed("r" + std::to_string(i), 2));
+    rows.takeChanges(rowsAt(2, many));
+    const RelayedRows told = rows.since(1);
+    BOOST_TEST(told.isWhole);
+    BOOST_TEST(told.isAfterOutage);
+    BOOST_TEST((versionsOf(told.rows) == Versions{{"a", 1}}));
+}
