--- a/src/libbulrushentry/rowsfeed.cpp
+++ b/src/libbulrushentry/rowsfeed.cpp
@@ -102,6 +102,19 @@
     }
 }
 
+/** \returns what the one who asks is told, which is made once for all who ask after its version. */
+RowsFeed::Encoded &RowsFeed::changesFor(const Held &held, EncodedChanges &encoded)
+{
+    const std::uint64_t version = held.question.version;
+    const auto [place, isNew] = encoded.try_emplace({held.follower, version});
+    if (isNew) {
+        place->second.told = held.follower->rowsSince(version, held.askedAt);
+        place->second.list = encodeRowList(place->second.told);
+        place->second.told.rows.clear();
+    }
+    return place->second;
+}
+
 /** \returns whether \a held was answered, as there is news, no time left, or no store. */
 bool RowsFeed::isAnswered(const Held &held, EncodedChanges &encoded, Instant now)
 {
@@ -116,11 +129,9 @@
         || held.follower->knownAt() > held.newsAfter;
     if (!isFresh || (!hasNews && !isOver))
         return false;
-    const RelayedRows rows = held.follower->rowsSince(held.question.version, held.askedAt);
-    std::string &list = encoded[{held.follower, held.question.version}];
-    if (list.empty())
-        list = encodeRowList(rows);
-    std::string body = encodeRows(rows, list);
+    Encoded &changes = changesFor(held, encoded);
+    changes.told.age = held.askedAt - held.follower->knownAt();
+    std::string body = encodeRows(changes.told, changes.list);
     if (!m_served.admits(held.question.table, body.size(), now)) {
         held.writer->send(io::refusal(busyStatus));
         return true;
--- a/src/libbulrushentry/rowsfeed.h
+++ b/src/libbulrushentry/rowsfeed.h
@@ -75,12 +75,19 @@
      * Changes of a table after a version, encoded once for all who wait for them: in a domain of 22
      * daemons 21 follow one reader, and an assignment has some 200 ranges.
      */
-    using EncodedChanges = std::map<std::pair<const TableFollower *, std::uint64_t>, std::string>;
+    struct Encoded
+    {
+        /** Without the rows themselves. */
+        RelayedRows told;
+        std::string list;
+    };
+    using EncodedChanges = std::map<std::pair<const TableFollower *, std::uint64_t>, Encoded>;
 
     /** Answers what can be answered now. */
     void look(Instant now);
     static Instant newsAfter(const FeedQuestion &question, const TableFollower &follower,
                              Instant now);
+    static Encoded &changesFor(const Held &held, EncodedChanges &encoded);
     bool isAnswered(const Held &held, EncodedChanges &encoded, Instant now);
 
     RowsServed &m_served;
