--- a/src/libbulrush/process/entrysettings.h
+++ b/src/libbulrush/process/entrysettings.h
@@ -4,6 +4,7 @@
 #include "process/daemonsettings.h"
 #include "process/drainbudget.h"
 #include "process/endpoint.h"
+#include "process/evacuationbudget.h"
 #include "process/retrybudgets.h"
 #include "version/identifier.h"
 
@@ -32,6 +33,8 @@
     Duration serverDrain = DrainBudget::minBound;
     /** Maximum time from the acknowledgement of a configuration until it is in force. */
     Duration configInForce = ConfigBudget::minBound;
+    /** Maximum time until servers of an evacuated failure domain get no more requests. */
+    Duration evacuation = EvacuationBudget::defaultBound;
     CallerLimits limits;
     /** Number of processor cores of the host. */
     double processors = 1.0;
--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -371,6 +371,7 @@
 {
     const auto load = m_loads.find(service);
     std::vector<KeyServer> ready;
+    std::vector<KeyServer> cold;
     for (const auto &[id, server] : servers.servers()) {
         if (server.record.service != service || !server.isReady())
             continue;
@@ -379,10 +380,17 @@
         const Duration time =
             load == m_loads.end() ? ServiceLoad::defaultWorkTime : load->second.workTime(id);
         double capacity = server.record.slots / std::chrono::duration<double>(time).count();
+        if (server.coldRate > 0.0 && server.isCold(now - warmNoticePeriod)) {
+            cold.push_back({id, std::min(capacity, server.coldRate)});
+            continue;
+        }
         if (server.record.coldRemaining > Duration::zero())
             capacity *= coldCapacityFactor;
         ready.push_back({id, capacity});
     }
+    const auto total = static_cast<double>(ready.size() + cold.size());
+    if (static_cast<double>(cold.size()) > maxExcludedColdFraction * total)
+        ready.insert(ready.end(), cold.begin(), cold.end());
     return ready;
 }
 
--- a/src/libbulrush/process/routingdatafreshness.h
+++ b/src/libbulrush/process/routingdatafreshness.h
@@ -10,6 +10,8 @@
     ServerDataFreshness servers;
     /** At this instant the store had no configuration later than the one received here. */
     Instant configAsOf;
+    /** The store can't confirm configurations and evacuations to this daemon at present. */
+    bool isConfigUnconfirmable = true;
 
     bool operator==(const RoutingDataFreshness &) const = default;
 };
--- a/src/libbulrush/process/routingstate.cpp
+++ b/src/libbulrush/process/routingstate.cpp
@@ -19,4 +19,10 @@
     return found == all.end() ? nullptr : &*found;
 }
 
+std::optional<std::size_t> RoutingState::slowStartRank(const ServerName &server) const
+{
+    const auto found = slowStartRanks.find(server);
+    return found == slowStartRanks.end() ? std::nullopt : std::optional{found->second};
+}
+
 } // namespace bulrush
--- a/src/libbulrush/process/routingstate.h
+++ b/src/libbulrush/process/routingstate.h
@@ -4,8 +4,10 @@
 #include "version/keyassignment.h"
 #include "version/routetable.h"
 
+#include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace bulrush {
@@ -28,12 +30,17 @@
     std::map<ServiceName, std::shared_ptr<const KeyAssignment>> assignments;
     /** Number of daemons that share common limits, including this one; 0: not known yet. */
     std::size_t daemonCount = 0;
+    /** The rank of this daemon for each server in slow start, see SlowStart::rankOf(). */
+    std::map<ServerName, std::size_t> slowStartRanks;
 
     /** \returns the servers of \a service. Valid for the lifetime of this object. */
     const std::vector<KnownServer> &serversOf(const ServiceName &service) const;
 
     /** \returns the server \a id of \a service, or null. Valid for the lifetime of this object. */
     const KnownServer *server(const ServiceName &service, const ServerName &id) const;
+
+    /** \returns the rank of this daemon for \a server, if it has one. */
+    std::optional<std::size_t> slowStartRank(const ServerName &server) const;
 };
 
 } // namespace bulrush
--- a/src/libbulrush/process/serverdirectory.cpp
+++ b/src/libbulrush/process/serverdirectory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace bulrush {
 
@@ -31,7 +32,17 @@
         server.firstSeen = now;
         supersedeEarlierRuns(record, now);
     }
+    // A record that is only read again says nothing new about the remaining time.
+    if (isNew || server.record != record)
+        server.coldUntil = now + record.coldRemaining;
     server.record = record;
+    server.coldRate = coldStartOf(record.service).rate;
+    extendColdTime(server);
+    const auto evacuation = m_evacuations.find(record.domain);
+    if (evacuation == m_evacuations.end())
+        server.evacuatedAfter.reset();
+    else
+        server.evacuatedAfter = evacuation->second.after;
     if (server.hasStopped || server.laterRun)
         return; // an outdated record
     server.removedSince.reset();
@@ -85,6 +96,52 @@
     return true;
 }
 
+void ServerDirectory::setColdStarts(std::map<ServiceName, ColdStart> coldStarts)
+{
+    m_coldStarts = std::move(coldStarts);
+    for (auto &[id, server] : m_servers)
+        server.coldRate = coldStartOf(server.record.service).rate;
+}
+
+ColdStart ServerDirectory::coldStartOf(const ServiceName &service) const
+{
+    const auto found = m_coldStarts.find(service);
+    return found == m_coldStarts.end() ? ColdStart{} : found->second;
+}
+
+void ServerDirectory::applyEvacuation(const DomainName &domain, Instant now, Instant unchangedUntil)
+{
+    if (!m_evacuations.try_emplace(domain, Evacuation{unchangedUntil, now}).second)
+        return;
+    for (auto &[id, server] : m_servers) {
+        if (server.record.domain == domain)
+            server.evacuatedAfter = unchangedUntil;
+    }
+}
+
+void ServerDirectory::applyReturn(const DomainName &domain, Instant now)
+{
+    if (m_evacuations.erase(domain) == 0)
+        return;
+    m_returnedAt[domain] = now;
+    for (auto &[id, server] : m_servers) {
+        if (server.record.domain != domain)
+            continue;
+        server.evacuatedAfter.reset();
+        extendColdTime(server);
+    }
+}
+
+/** Treats \a server as cold for as long as it can be after the evacuation of its domain. */
+void ServerDirectory::extendColdTime(KnownServer &server) const
+{
+    const auto returned = m_returnedAt.find(server.record.domain);
+    if (returned == m_returnedAt.end())
+        return;
+    const Duration duration = coldStartOf(server.record.service).duration;
+    server.coldUntil = std::max(server.coldUntil, returned->second + duration);
+}
+
 bool ServerDirectory::advance(Instant now)
 {
     bool hasChanged = false;
--- a/src/libbulrush/process/serverdirectory.h
+++ b/src/libbulrush/process/serverdirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/serverrecord.h"
+#include "version/routingconfig.h"
 
 #include <map>
 #include <optional>
@@ -31,9 +32,30 @@
      * Set while its record is missing after a store outage; removed unless it reappears in time.
      */
     std::optional<Instant> missingSince;
+    /**
+     * Set while its failure domain is evacuated: the last instant at which the domain was known not
+     * to be.
+     */
+    std::optional<Instant> evacuatedAfter = std::nullopt;
+    /** Until then it is cold, or may be. */
+    Instant coldUntil{};
+    /** Requests per second that it bears while it is cold; 0 if there is no such limit. */
+    double coldRate = 0.0;
 
     /** \returns whether it may get work and keys. */
     bool isReady() const;
+
+    /** \returns whether it is or may be cold. */
+    bool isCold(Instant now) const;
+};
+
+/** The evacuation of a failure domain, as far as this daemon has received it. */
+struct Evacuation
+{
+    /** The last instant at which the domain was known not to be evacuated. */
+    Instant after;
+    /** When the operator's request was received. */
+    Instant receivedAt;
 };
 
 /**
@@ -75,6 +97,24 @@
      */
     bool markStopped(const ServerName &id, Instant now);
 
+    /** Sets how the servers of each service behave when cold; others have no limit. */
+    void setColdStarts(std::map<ServiceName, ColdStart> coldStarts);
+
+    /**
+     * Applies that the operators evacuate \a domain, which was not evacuated until \a
+     * unchangedUntil: its servers are to get no more work and keys.
+     */
+    void applyEvacuation(const DomainName &domain, Instant now, Instant unchangedUntil);
+
+    /**
+     * Applies that \a domain is no longer evacuated. Its servers may be cold, even if their records
+     * do not say so yet.
+     */
+    void applyReturn(const DomainName &domain, Instant now);
+
+    /** \returns the evacuated domains, which may have no servers. */
+    const std::map<DomainName, Evacuation> &evacuations() const;
+
     /** Handles expired timeouts. \returns whether a server was removed by that. */
     bool advance(Instant now);
 
@@ -92,13 +132,29 @@
 
 private:
     void supersedeEarlierRuns(const ServerRecord &record, Instant now);
+    ColdStart coldStartOf(const ServiceName &service) const;
+    void extendColdTime(KnownServer &server) const;
 
     std::map<ServerName, KnownServer> m_servers;
+    std::map<ServiceName, ColdStart> m_coldStarts;
+    std::map<DomainName, Evacuation> m_evacuations;
+    /** When the last evacuation of a domain ended. */
+    std::map<DomainName, Instant> m_returnedAt;
 };
 
 inline bool KnownServer::isReady() const
 {
-    return !record.isDraining && !removedSince;
+    return !record.isDraining && !removedSince && !evacuatedAfter;
+}
+
+inline bool KnownServer::isCold(Instant now) const
+{
+    return now < coldUntil;
+}
+
+inline const std::map<DomainName, Evacuation> &ServerDirectory::evacuations() const
+{
+    return m_evacuations;
 }
 
 inline const std::map<ServerName, KnownServer> &ServerDirectory::servers() const
--- /dev/null
+++ b/src/libbulrush/process/slowstart.cpp
@@ -0,0 +1,92 @@
+#include "process/slowstart.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace bulrush {
+
+namespace {
+
+/** Longer than any pause between two requests to one server. */
+constexpr Duration retention = std::chrono::minutes{1};
+/** Lower bound of the cold rate, in requests per second, so that pauses stay below the retention.
+ */
+constexpr double minColdRate = 0.1;
+
+/** Position of a daemon in the order for a server; lower comes first. */
+using OrderKey = std::tuple<bool, std::uint64_t, HostName>;
+
+OrderKey orderKey(const ServerRecord &server, const DaemonPlace &daemon)
+{
+    const std::string &name = server.id.value();
+    const std::string &host = daemon.host.value();
+    const std::uint64_t seed = XXH3_64bits(name.data(), name.size());
+    return {daemon.domain != server.domain, XXH3_64bits_withSeed(host.data(), host.size(), seed),
+            daemon.host};
+}
+
+/** \returns the time between two requests of one daemon to a server with the given cold rate. */
+Duration pauseOf(double coldRate)
+{
+    const std::chrono::duration<double> pause{SlowStart::senderCount
+                                              / std::max(coldRate, minColdRate)};
+    return std::chrono::duration_cast<Duration>(pause);
+}
+
+} // namespace
+
+std::optional<std::size_t> SlowStart::rankOf(const ServerRecord &server, const HostName &self,
+                                             std::span<const DaemonPlace> daemons)
+{
+    const auto own = std::ranges::find(daemons, self, &DaemonPlace::host);
+    if (own == daemons.end())
+        return std::nullopt;
+    const OrderKey ownKey = orderKey(server, *own);
+    return static_cast<std::size_t>(std::ranges::count_if(
+        daemons, [&](const DaemonPlace &daemon) { return orderKey(server, daemon) < ownKey; }));
+}
+
+bool SlowStart::isActive(const KnownServer &server, Instant now)
+{
+    return server.coldRate > 0.0 && now < server.coldUntil + rampDuration;
+}
+
+SlowStartAdmission SlowStart::admission(const KnownServer &server, std::optional<std::size_t> rank,
+                                        std::size_t daemonCount, Instant now) const
+{
+    if (!isActive(server, now))
+        return SlowStartAdmission::Admitted;
+    const bool isCold = server.isCold(now);
+    // A daemon that the others do not know waits until all others have begun.
+    if (!rank)
+        return SlowStartAdmission::NotSender;
+    if (!isCold) {
+        const double elapsed = std::chrono::duration<double>(now - server.coldUntil)
+            / std::chrono::duration<double>(rampDuration);
+        const double senders = senderCount + elapsed * static_cast<double>(daemonCount);
+        return static_cast<double>(*rank) < senders ? SlowStartAdmission::Admitted
+                                                    : SlowStartAdmission::NotSender;
+    }
+    if (*rank >= senderCount)
+        return SlowStartAdmission::NotSender;
+    const auto sentAt = m_sentAt.find(server.record.id);
+    return sentAt != m_sentAt.end() && now - sentAt->second < pauseOf(server.coldRate)
+        ? SlowStartAdmission::Paced
+        : SlowStartAdmission::Admitted;
+}
+
+void SlowStart::recordSend(const KnownServer &server, Instant now)
+{
+    if (server.coldRate > 0.0 && server.isCold(now))
+        m_sentAt[server.record.id] = now;
+}
+
+void SlowStart::removeExpired(Instant now)
+{
+    std::erase_if(m_sentAt, [now](const auto &entry) { return now - entry.second > retention; });
+}
+
+} // namespace bulrush
--- a/src/libbulrush/request/requestqueue.cpp
+++ b/src/libbulrush/request/requestqueue.cpp
@@ -24,9 +24,13 @@
     case GiveUpReason::Unreachable:
         return "owner-out-of-reach";
     case GiveUpReason::AllTried:
+        return "all-servers-tried";
+    case GiveUpReason::Cold:
+        return "server-cold";
+    case GiveUpReason::Evacuated:
         break;
     }
-    return "all-servers-tried";
+    return "domain-evacuated";
 }
 
 RequestQueue::RequestQueue(const ServerPicker &picker)
@@ -102,6 +106,11 @@
     // remaining time to retry elsewhere.
     if (cause == NoServer::Unreachable)
         return GiveUpReason::Unreachable;
+    // Both take seconds; another daemon may be able to send to a cold server.
+    if (cause == NoServer::Cold)
+        return GiveUpReason::Cold;
+    if (cause == NoServer::Evacuated)
+        return GiveUpReason::Evacuated;
     if (cause == NoServer::Absent) {
         if (!request.absentSince)
             request.absentSince = now;
--- a/src/libbulrush/request/requestqueue.h
+++ b/src/libbulrush/request/requestqueue.h
@@ -39,6 +39,8 @@
     NoOwner,      ///< no server serves its key or service, for an unknown time
     Unreachable,  ///< the server of its key repeatedly could not be reached just now
     AllTried,     ///< it was sent to every server already
+    Cold,         ///< only other daemons may send to the servers, which are cold
+    Evacuated,    ///< all servers of its service are in evacuated failure domains
 };
 
 /** \returns the name of \a reason in logs. */
--- a/src/libbulrush/request/serverpicker.cpp
+++ b/src/libbulrush/request/serverpicker.cpp
@@ -26,13 +26,25 @@
     return std::ranges::find(demand.tried, server) != demand.tried.end();
 }
 
+/** \returns whether \a servers would be ready but for the evacuation of all their domains. */
+bool isEvacuated(std::span<const KnownServer> servers)
+{
+    const auto isInEvacuatedDomain = [](const KnownServer &server) {
+        return server.evacuatedAfter.has_value();
+    };
+    return std::ranges::any_of(servers, isInEvacuatedDomain)
+        && std::ranges::none_of(servers, &KnownServer::isReady);
+}
+
 } // namespace
 
-ServerPicker::ServerPicker(const ServerGauges &gauges, DomainName ownDomain,
-                           const DrainBudget &budget)
+ServerPicker::ServerPicker(const ServerGauges &gauges, const SlowStart &slowStart,
+                           DomainName ownDomain, const LeavingServerBudgets &budgets)
     : m_gauges(gauges)
+    , m_slowStart(slowStart)
     , m_ownDomain(std::move(ownDomain))
-    , m_budget(budget)
+    , m_budget(budgets.drain)
+    , m_evacuationBudget(budgets.evacuation)
 { }
 
 Duration ServerPicker::serverDataAge(Instant now) const
@@ -42,17 +54,39 @@
 
 Instant ServerPicker::maxSendAge(const KnownServer &server) const
 {
+    Instant latest = Instant::max();
     if (server.drainsAfter)
-        return *server.drainsAfter + m_budget.maxSendAge();
-    return m_dataFreshness.isStoreUnreachable ? Instant::max()
-                                              : m_dataFreshness.asOf + m_budget.maxSendAge();
+        latest = *server.drainsAfter + m_budget.maxSendAge();
+    else if (!m_dataFreshness.isStoreUnreachable)
+        latest = m_dataFreshness.asOf + m_budget.maxSendAge();
+    if (server.evacuatedAfter)
+        return std::min(latest, *server.evacuatedAfter + m_evacuationBudget.maxSendAge());
+    if (!m_evacuationFreshness.isStoreUnreachable)
+        return std::min(latest, m_evacuationFreshness.asOf + m_evacuationBudget.maxSendAge());
+    return latest;
+}
+
+/** \returns whether any server may have to be left alone by newer data, which is pending. */
+bool ServerPicker::isDataTooOld(Instant now) const
+{
+    return serverDataAge(now) > m_budget.maxUnconfirmedAge()
+        || (!m_evacuationFreshness.isStoreUnreachable
+            && now - m_evacuationFreshness.asOf > m_evacuationBudget.maxUnconfirmedAge());
+}
+
+SlowStartAdmission ServerPicker::admission(const RoutingState &state, const KnownServer &server,
+                                           Instant now) const
+{
+    if (!SlowStart::isActive(server, now))
+        return SlowStartAdmission::Admitted;
+    return m_slowStart.admission(server, state.slowStartRank(server.record.id), state.daemonCount,
+                                 now);
 }
 
 ServerPick ServerPicker::pick(const RoutingState &state, const ServerDemand &demand,
                               Instant now) const
 {
-    // Newer routing data is pending. Until it is received, any server may have left.
-    if (serverDataAge(now) > m_budget.maxUnconfirmedAge())
+    if (isDataTooOld(now))
         return NoServer::Busy;
     return demand.key ? pickOwner(state, demand, now) : pickFastest(state, demand, now);
 }
@@ -69,7 +103,7 @@
     }
     ServerEstimate result{Duration::max(), 0.0, {}};
     for (const KnownServer &server : state.serversOf(demand.service)) {
-        if (!server.isReady())
+        if (!server.isReady() || admission(state, server, now) == SlowStartAdmission::NotSender)
             continue;
         result.latency = std::min(result.latency, m_gauges.expectedLatency(server.record, now));
         result.completionRate += m_gauges.completionRate(server.record.id, now);
@@ -93,6 +127,8 @@
         return nullptr;
     if (server->drainsAfter && now - *server->drainsAfter > m_budget.maxDrainingAge())
         return nullptr;
+    if (server->evacuatedAfter && now - *server->evacuatedAfter > m_evacuationBudget.maxOwnerAge())
+        return nullptr;
     return server;
 }
 
@@ -101,7 +137,16 @@
 {
     const KnownServer *server = ownerOf(state, demand, now);
     if (!server)
-        return NoServer::Absent;
+        return isEvacuated(state.serversOf(demand.service)) ? NoServer::Evacuated
+                                                            : NoServer::Absent;
+    // After a cold start the planner limits the load of an owner by the keys that it gets.
+    if (server->isCold(now)) {
+        const SlowStartAdmission admitted = admission(state, *server, now);
+        if (admitted == SlowStartAdmission::NotSender)
+            return NoServer::Cold;
+        if (admitted == SlowStartAdmission::Paced)
+            return NoServer::Busy;
+    }
     // Waiting for an unreachable server is useless. Single requests check whether it answers again.
     if (m_gauges.isUnreachable(server->record.id, now))
         return NoServer::Unreachable;
@@ -116,17 +161,23 @@
     const ServerRecord *best = nullptr;
     Duration bestCost{};
     bool hasReady = false;
+    bool hasSlowStart = false;
     bool hasUntried = false;
     std::uint64_t index = 0;
     for (const KnownServer &server : state.serversOf(demand.service)) {
         ++index;
         if (!server.isReady())
             continue;
+        const SlowStartAdmission admitted = admission(state, server, now);
+        if (admitted == SlowStartAdmission::NotSender) {
+            hasSlowStart = true;
+            continue;
+        }
         hasReady = true;
         if (wasTried(demand, server.record.id))
             continue;
         hasUntried = true;
-        if (!m_gauges.hasRoom(server.record, now))
+        if (admitted == SlowStartAdmission::Paced || !m_gauges.hasRoom(server.record, now))
             continue;
         const double noise = 1.0 + costNoise * pseudoRandom(demand.salt, index);
         const Duration cost{static_cast<std::int64_t>(
@@ -138,8 +189,11 @@
     }
     if (best)
         return best;
+    if (!hasReady && hasSlowStart)
+        return NoServer::Cold;
     if (!hasReady)
-        return NoServer::Absent;
+        return isEvacuated(state.serversOf(demand.service)) ? NoServer::Evacuated
+                                                            : NoServer::Absent;
     return hasUntried ? NoServer::Busy : NoServer::AllTried;
 }
 
--- a/src/libbulrush/request/serverpicker.h
+++ b/src/libbulrush/request/serverpicker.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "process/drainbudget.h"
+#include "process/evacuationbudget.h"
 #include "process/routingstate.h"
 #include "process/serverdatafreshness.h"
 #include "process/servergauges.h"
+#include "process/slowstart.h"
 #include "version/routingconfig.h"
 
 #include <cstdint>
@@ -34,6 +36,8 @@
     Absent,      ///< the key has no owner now, or no server of the service is ready
     Unreachable, ///< the owner of the key, or its host, repeatedly could not be reached just now
     AllTried,    ///< all eligible servers were tried, so that waiting does not help
+    Cold,        ///< the eligible servers are cold, and only other daemons send to them for now
+    Evacuated,   ///< all servers of the service are in evacuated failure domains
 };
 
 /** The chosen server, valid during the lifetime of the routing state, or the reason for none. */
@@ -50,6 +54,13 @@
     ServerName owner;
 };
 
+/** Time limits for requests to servers that are to get no more work. */
+struct LeavingServerBudgets
+{
+    DrainBudget drain = DrainBudget{};
+    EvacuationBudget evacuation = EvacuationBudget{};
+};
+
 /**
  * Chooses the server for a request: the owner of its key, or otherwise the server of the service
  * that is expected to answer first. Servers in the daemon's own failure domain are preferred by a
@@ -59,6 +70,8 @@
  * confirmed not to drain. This applies to the owner of a key that drains, until its keys have
  * moved, and to any server if there is no newer routing data although the store answers. Otherwise
  * one slow hop in the propagation of routing data would cause requests to servers that have left.
+ * The same applies to servers of evacuated failure domains. Cold servers are used as SlowStart
+ * permits.
  *
  * Not thread safe.
  */
@@ -73,12 +86,15 @@
     /** The same for uploads, whose transfer between domains costs more than a late answer. */
     static constexpr Duration uploadDomainMargin = std::chrono::milliseconds{1500};
 
-    ServerPicker(const ServerGauges &gauges, DomainName ownDomain,
-                 const DrainBudget &budget = DrainBudget{});
+    ServerPicker(const ServerGauges &gauges, const SlowStart &slowStart, DomainName ownDomain,
+                 const LeavingServerBudgets &budgets = {});
 
     /** Sets how current the routing state is. */
     void setDataFreshness(const ServerDataFreshness &knowledge);
 
+    /** Sets how current the data about evacuations is. */
+    void setEvacuationFreshness(const ServerDataFreshness &freshness);
+
     /** \returns the time since the store last confirmed the data, or zero if it is unreachable. */
     Duration serverDataAge(Instant now) const;
 
@@ -100,12 +116,18 @@
     ServerPick pickOwner(const RoutingState &state, const ServerDemand &demand, Instant now) const;
     ServerPick pickFastest(const RoutingState &state, const ServerDemand &demand,
                            Instant now) const;
+    SlowStartAdmission admission(const RoutingState &state, const KnownServer &server,
+                                 Instant now) const;
+    bool isDataTooOld(Instant now) const;
     Duration costOf(const ServerRecord &server, const ServerDemand &demand, Instant now) const;
 
     const ServerGauges &m_gauges;
+    const SlowStart &m_slowStart;
     DomainName m_ownDomain;
     DrainBudget m_budget;
+    EvacuationBudget m_evacuationBudget;
     ServerDataFreshness m_dataFreshness;
+    ServerDataFreshness m_evacuationFreshness;
 };
 
 inline void ServerPicker::setDataFreshness(const ServerDataFreshness &knowledge)
@@ -113,6 +135,11 @@
     m_dataFreshness = knowledge;
 }
 
+inline void ServerPicker::setEvacuationFreshness(const ServerDataFreshness &freshness)
+{
+    m_evacuationFreshness = freshness;
+}
+
 inline const DrainBudget &ServerPicker::budget() const
 {
     return m_budget;
--- a/src/libbulrush/version/routingconfig.h
+++ b/src/libbulrush/version/routingconfig.h
@@ -56,6 +56,17 @@
     bool operator==(const RoutedHost &) const = default;
 };
 
+/** How servers of a service behave for some time after their start. */
+struct ColdStart
+{
+    /** How long a server is cold. */
+    Duration duration{};
+    /** Requests per second, from all daemons together, that a cold server bears. */
+    double rate = 0.0;
+
+    bool operator==(const ColdStart &) const = default;
+};
+
 /** Service to which requests are routed. */
 struct RoutedService
 {
@@ -63,6 +74,8 @@
     bool isDividedByKey = false;
     /** Maximum number of connections that one of its servers accepts, over all callers. */
     std::uint32_t connectionLimit = 0;
+    /** Set if cold servers of the service bear only few requests. */
+    std::optional<ColdStart> coldStart = std::nullopt;
 
     bool operator==(const RoutedService &) const = default;
 };
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -67,7 +67,7 @@
     , m_worker(m_settings, m_counters)
     , m_plan(m_settings.host, m_settings.domain, io::hostNow())
     , m_state(
-          followerDependencies(),
+          followerDependencies(), m_settings.host,
           {DrainBudget{m_settings.serverDrain}, ConfigBudget{m_settings.configInForce}},
           [this](std::shared_ptr<const RoutingState> state) {
               m_worker.setState(std::move(state));
@@ -311,6 +311,8 @@
     std::string text = "host: " + m_settings.host.value() + '\n';
     text += "domain: " + m_settings.domain.value() + '\n';
     text += "config: " + std::to_string(routes ? routes->config().version : 0) + '\n';
+    for (const auto &[domain, evacuation] : m_state.directory().evacuations())
+        text += "evacuated: " + domain.value() + '\n';
     text += "servers: " + std::to_string(m_state.directory().servers().size()) + '\n';
     text += std::string{"planner: "} + (m_keys.isPlanning() ? "yes" : "no") + '\n';
     text += std::string{"store: "} + (m_keys.isStoreReached() ? "reached" : "lost") + '\n';
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -23,7 +23,8 @@
     , servers(ownLoop)
     , timers(ownLoop)
     , counters(ownCounters)
-    , picker(gauges, settings.domain, DrainBudget{settings.serverDrain})
+    , picker(gauges, slowStart, settings.domain,
+             {DrainBudget{settings.serverDrain}, EvacuationBudget{settings.evacuation}})
     , queue(picker)
     , retries(settings.retries)
     , answeredRequests(io::hostNow())
@@ -138,6 +139,7 @@
 {
     m_configConfirmedAt = freshness.configAsOf;
     picker.setDataFreshness(freshness.servers);
+    picker.setEvacuationFreshness({freshness.configAsOf, freshness.isConfigUnconfirmable});
     if (queue.size() > 0)
         scheduleDispatch();
 }
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -10,6 +10,7 @@
 #include "process/routingdatafreshness.h"
 #include "process/routingstate.h"
 #include "process/servergauges.h"
+#include "process/slowstart.h"
 #include "request/requestqueue.h"
 #include "version/keyadmission.h"
 #include "version/keyassignment.h"
@@ -50,6 +51,7 @@
     /** The latest state published by the control thread; set by setState(). */
     std::shared_ptr<const RoutingState> state;
     ServerGauges gauges;
+    SlowStart slowStart;
     ServerPicker picker;
     RequestQueue queue;
     RetryBudgets retries;
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -274,6 +274,7 @@
     const KnownServer *server = m_context.state->server(m_service, m_server);
     if (!server)
         return Instant::max();
+    m_context.slowStart.recordSend(*server, m_sentAt);
     m_drainsAfter = server->drainsAfter;
     m_isChoiceLogged = m_isChoiceLogged || m_drainsAfter;
     return m_context.picker.maxSendAge(*server);
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -131,6 +131,7 @@
     m_openCount = m_context.openRequests.size();
     m_connectionCount = m_callers->connectionCount();
     m_context.gauges.removeIdle(now);
+    m_context.slowStart.removeExpired(now);
     m_context.crashes.forget(now);
     const std::uint64_t opened = m_context.servers.openedConnectionCount();
     m_counters.add(EntryCounter::ConnectionsOpened,
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -218,11 +218,15 @@
     if (change.isComplete)
         applyMissingRows(change, hasPlanner, now);
     m_coordinator.markRowsApplied(change.version);
-    m_deps.state.setDaemonCount(peers().size() + 1);
     std::vector<Renewer> daemons;
-    for (const auto &[host, renewer] : m_coordinator.renewers().renewers())
+    std::vector<DaemonPlace> places;
+    for (const auto &[host, renewer] : m_coordinator.renewers().renewers()) {
         daemons.push_back(renewer);
+        if (!renewer.removedSince)
+            places.push_back({host, renewer.row.domain});
+    }
     m_deps.follow.plan.setDaemons(daemons);
+    m_deps.state.setDaemons(std::move(places));
     if (m_changeHandler)
         m_changeHandler(change);
     advance(now);
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -5,7 +5,9 @@
 #include "platform/tables.h"
 #include "process/hostclock.h"
 #include "process/logging.h"
+#include "process/slowstart.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bulrush {
@@ -36,14 +38,26 @@
             confirmationDelays(budget)};
 }
 
+std::map<ServiceName, ColdStart> coldStartsOf(const RoutingConfig &config)
+{
+    std::map<ServiceName, ColdStart> coldStarts;
+    for (const RoutedService &service : config.services) {
+        if (service.coldStart)
+            coldStarts[service.name] = *service.coldStart;
+    }
+    return coldStarts;
+}
+
 } // namespace
 
-StatePublisher::StatePublisher(const FollowerDependencies &deps, const Budgets &budgets,
-                               PublishHandler publish, FreshnessHandler freshnessHandler)
+StatePublisher::StatePublisher(const FollowerDependencies &deps, HostName self,
+                               const Budgets &budgets, PublishHandler publish,
+                               FreshnessHandler freshnessHandler)
     : m_publish(std::move(publish))
     , m_freshnessHandler(std::move(freshnessHandler))
     , m_configs(deps, std::string{platform::operatorTable}, configTimings(budgets.configs))
     , m_servers(deps, std::string{platform::serverTable}, serverTimings(budgets.servers))
+    , m_self(std::move(self))
 { }
 
 const TableFollower *StatePublisher::follower(std::string_view table) const
@@ -60,7 +74,7 @@
 
 void StatePublisher::start()
 {
-    m_configs.start([this](const TableChange &change) { applyConfig(change); },
+    m_configs.start([this](const TableChange &change) { applyOperatorRows(change); },
                     [this](Instant) { reportFreshness(); });
     m_servers.start([this](const TableChange &change) { applyServers(change); },
                     [this](Instant) { reportFreshness(); });
@@ -73,10 +87,12 @@
     publish();
 }
 
-void StatePublisher::setDaemonCount(std::size_t count)
+void StatePublisher::setDaemons(std::vector<DaemonPlace> daemons)
 {
-    if (std::exchange(m_daemonCount, count) != count)
-        publish();
+    if (m_daemons == daemons)
+        return;
+    m_daemons = std::move(daemons);
+    publish();
 }
 
 void StatePublisher::recordServerStopped(const ServerName &id)
@@ -94,32 +110,91 @@
     reportFreshness();
 }
 
-void StatePublisher::applyConfig(const TableChange &change)
+void StatePublisher::applyOperatorRows(const TableChange &change)
 {
     for (const platform::StoreRow &row : change.rows) {
-        if (row.key != platform::configKey || row.isRemoved)
-            continue;
-        std::variant<RoutingConfig, std::string> decoded = platform::decodeConfig(row.value);
-        if (const auto *problem = std::get_if<std::string>(&decoded)) {
-            io::logEvent(LogLevel::Error, "config-unreadable", {{"problem", *problem}});
-            continue;
-        }
-        auto &config = std::get<RoutingConfig>(decoded);
-        const std::uint64_t known = m_routes ? m_routes->config().version : 0;
-        if (config.version <= known)
-            continue;
-        io::logEvent(LogLevel::Info, "config-adopted",
-                     {{"version", std::to_string(config.version)},
-                      {"before", std::to_string(known)},
-                      {"row", std::to_string(row.version)},
-                      {"source", m_configs.source()},
-                      {"unchanged-until-ms-ago",
-                       io::millisecondsText(io::hostNow() - change.unchangedUntil)}});
-        m_routes = std::make_shared<const RouteTable>(std::move(config));
-        m_routesAppliedAt = io::hostNow();
-        m_routesUnchangedUntil = change.unchangedUntil;
-        publish();
+        if (row.key == platform::configKey && !row.isRemoved)
+            applyConfig(row, change);
+        else if (row.key.starts_with(platform::evacuationPrefix))
+            applyEvacuation(row, change);
     }
+    if (change.isComplete)
+        applyMissingEvacuations(change);
+}
+
+void StatePublisher::applyConfig(const platform::StoreRow &row, const TableChange &change)
+{
+    std::variant<RoutingConfig, std::string> decoded = platform::decodeConfig(row.value);
+    if (const auto *problem = std::get_if<std::string>(&decoded)) {
+        io::logEvent(LogLevel::Error, "config-unreadable", {{"problem", *problem}});
+        return;
+    }
+    auto &config = std::get<RoutingConfig>(decoded);
+    const std::uint64_t known = m_routes ? m_routes->config().version : 0;
+    if (config.version <= known)
+        return;
+    io::logEvent(
+        LogLevel::Info, "config-adopted",
+        {{"version", std::to_string(config.version)},
+         {"before", std::to_string(known)},
+         {"row", std::to_string(row.version)},
+         {"source", m_configs.source()},
+         {"unchanged-until-ms-ago", io::millisecondsText(io::hostNow() - change.unchangedUntil)}});
+    m_directory.setColdStarts(coldStartsOf(config));
+    m_routes = std::make_shared<const RouteTable>(std::move(config));
+    m_routesAppliedAt = io::hostNow();
+    m_routesUnchangedUntil = change.unchangedUntil;
+    publish();
+}
+
+/** Applies an operators' row about one failure domain. Its existence counts, not its value. */
+void StatePublisher::applyEvacuation(const platform::StoreRow &row, const TableChange &change)
+{
+    const DomainName domain{row.key.substr(platform::evacuationPrefix.size())};
+    if (row.isRemoved) {
+        applyReturn(domain);
+        return;
+    }
+    if (m_directory.evacuations().contains(domain))
+        return;
+    const Instant now = io::hostNow();
+    m_directory.applyEvacuation(domain, now, change.unchangedUntil);
+    const auto servers = std::ranges::count_if(m_directory.servers(), [&](const auto &entry) {
+        return entry.second.record.domain == domain && !entry.second.removedSince;
+    });
+    io::logEvent(servers == 0 ? LogLevel::Warning : LogLevel::Info, "evacuation-began",
+                 {{"domain", domain.value()},
+                  {"servers", std::to_string(servers)},
+                  {"row", std::to_string(row.version)},
+                  {"source", m_configs.source()},
+                  {"unchanged-until-ms-ago", io::millisecondsText(now - change.unchangedUntil)}});
+    publish();
+}
+
+/** Ends evacuations whose rows are missing from the complete table. */
+void StatePublisher::applyMissingEvacuations(const TableChange &change)
+{
+    std::vector<DomainName> returned;
+    for (const auto &[domain, evacuation] : m_directory.evacuations()) {
+        const std::string key = std::string{platform::evacuationPrefix} + domain.value();
+        if (std::ranges::find(change.rows, key, &platform::StoreRow::key) == change.rows.end())
+            returned.push_back(domain);
+    }
+    for (const DomainName &domain : returned)
+        applyReturn(domain);
+}
+
+void StatePublisher::applyReturn(const DomainName &domain)
+{
+    const auto evacuation = m_directory.evacuations().find(domain);
+    if (evacuation == m_directory.evacuations().end())
+        return;
+    const Instant now = io::hostNow();
+    io::logEvent(LogLevel::Info, "evacuation-ended",
+                 {{"domain", domain.value()},
+                  {"after-ms", io::millisecondsText(now - evacuation->second.receivedAt)}});
+    m_directory.applyReturn(domain, now);
+    publish();
 }
 
 std::string StatePublisher::configMetrics(Instant now) const
@@ -190,7 +265,8 @@
 void StatePublisher::reportFreshness()
 {
     const RoutingDataFreshness freshness{{m_servers.confirmedAt(), m_servers.isStoreUnreachable()},
-                                         m_configs.confirmedAt()};
+                                         m_configs.confirmedAt(),
+                                         m_configs.isStoreUnreachable()};
     if (freshness == m_reportedFreshness)
         return;
     const ServerDataFreshness &servers = freshness.servers;
@@ -198,6 +274,11 @@
         io::logEvent(LogLevel::Info, "servers-confirmable",
                      {{"by", servers.isStoreUnreachable ? "nobody" : m_servers.source()},
                       {"age-ms", io::millisecondsText(io::hostNow() - servers.asOf)}});
+    if (freshness.isConfigUnconfirmable != m_reportedFreshness.isConfigUnconfirmable)
+        io::logEvent(LogLevel::Info, "evacuations-confirmable",
+                     {{"by", freshness.isConfigUnconfirmable ? "nobody" : m_configs.source()},
+                      {"evacuated", std::to_string(m_directory.evacuations().size())},
+                      {"age-ms", io::millisecondsText(io::hostNow() - freshness.configAsOf)}});
     m_reportedFreshness = freshness;
     m_freshnessHandler(freshness);
 }
@@ -209,12 +290,28 @@
     state->routesAppliedAt = m_routesAppliedAt;
     state->routesUnchangedUntil = m_routesUnchangedUntil;
     state->assignments = m_assignments;
-    state->daemonCount = m_daemonCount;
+    state->daemonCount = daemonCount();
+    const Instant now = io::hostNow();
     for (const auto &[id, server] : m_directory.servers()) {
-        if (!server.removedSince)
-            state->servers[server.record.service].push_back(server);
+        if (server.removedSince)
+            continue;
+        state->servers[server.record.service].push_back(server);
+        if (!m_daemons || !SlowStart::isActive(server, now))
+            continue;
+        if (const auto rank = SlowStart::rankOf(server.record, m_self, *m_daemons))
+            state->slowStartRanks[id] = *rank;
     }
     m_publish(std::move(state));
 }
 
+/** \returns the number of daemons, including this one; 0 if it is unknown. */
+std::size_t StatePublisher::daemonCount() const
+{
+    if (!m_daemons)
+        return 0;
+    const bool hasSelf =
+        std::ranges::find(*m_daemons, m_self, &DaemonPlace::host) != m_daemons->end();
+    return m_daemons->size() + (hasSelf ? 0 : 1);
+}
+
 } // namespace bulrush
--- a/src/libbulrushentry/statepublisher.h
+++ b/src/libbulrushentry/statepublisher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/configbudget.h"
+#include "process/daemonplace.h"
 #include "process/drainbudget.h"
 #include "process/routingdatafreshness.h"
 #include "process/routingstate.h"
@@ -9,7 +10,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace bulrush {
 
@@ -34,8 +37,9 @@
         ConfigBudget configs;
     };
 
-    StatePublisher(const FollowerDependencies &deps, const Budgets &budgets, PublishHandler publish,
-                   FreshnessHandler freshnessHandler);
+    /** \a self is the host of this daemon. */
+    StatePublisher(const FollowerDependencies &deps, HostName self, const Budgets &budgets,
+                   PublishHandler publish, FreshnessHandler freshnessHandler);
 
     /** Sets the handler that is called after each change of servers. */
     void setServersHandler(std::function<void()> handler);
@@ -46,8 +50,11 @@
     /** Sets the assignment in force of a service, and publishes it. */
     void setAssignment(KeyAssignment assignment);
 
-    /** Sets the number of daemons, and publishes it if it has changed. */
-    void setDaemonCount(std::size_t count);
+    /**
+     * Sets the daemons that have rows, which may not include this one yet, and publishes them if
+     * they have changed.
+     */
+    void setDaemons(std::vector<DaemonPlace> daemons);
 
     /** Records that the server \a id has stopped, even if its record still exists. */
     void recordServerStopped(const ServerName &id);
@@ -73,11 +80,16 @@
     bool isComplete() const;
 
 private:
-    void applyConfig(const TableChange &change);
+    void applyOperatorRows(const TableChange &change);
+    void applyConfig(const platform::StoreRow &row, const TableChange &change);
+    void applyEvacuation(const platform::StoreRow &row, const TableChange &change);
+    void applyMissingEvacuations(const TableChange &change);
+    void applyReturn(const DomainName &domain);
     void applyServers(const TableChange &change);
     void logServerChange(const ServerRecord &record, std::uint64_t row,
                          const TableChange &change) const;
     void publish();
+    std::size_t daemonCount() const;
     void reportFreshness();
 
     PublishHandler m_publish;
@@ -93,7 +105,9 @@
     /** The last instant at which the store was confirmed to hold the previous routes. */
     Instant m_routesUnchangedUntil;
     std::map<ServiceName, std::shared_ptr<const KeyAssignment>> m_assignments;
-    std::size_t m_daemonCount = 0;
+    HostName m_self;
+    /** The daemons that have rows; nothing until these rows were received. */
+    std::optional<std::vector<DaemonPlace>> m_daemons;
     bool m_hasServers = false;
 };
 
--- a/src/libbulrushio/process/entrysettingsreader.cpp
+++ b/src/libbulrushio/process/entrysettingsreader.cpp
@@ -88,6 +88,7 @@
     readShutdown(fields, settings);
     readDecimalSeconds(fields, "serverDrainSeconds", settings.serverDrain);
     readDecimalSeconds(fields, "configInForceSeconds", settings.configInForce);
+    readDecimalSeconds(fields, "evacuationSeconds", settings.evacuation);
     readCallerLimits(fields, settings.limits);
     readRetries(fields, settings.retries);
     constexpr double maxProcessors = 1024.0;
--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -131,6 +131,10 @@
         arguments.emplace_back("--hang-when-full");
     if (!server.crashOn.empty())
         arguments.insert(arguments.end(), {"--crash-on", server.crashOn});
+    if (server.coldMs > 0)
+        arguments.insert(arguments.end(),
+                         {"--cold-ms", std::to_string(server.coldMs), "--cold-limit",
+                          std::to_string(server.coldLimit)});
     m_serverSpecs[server.id] = server;
     m_servers[server.id] = std::make_unique<ChildProcess>(binaryPath("keyed-standin"), arguments);
     writeRecord(server.id, "ready");
@@ -188,7 +192,7 @@
     value["version"] = "v1";
     value["slots"] = server.slots;
     value["state"] = state;
-    value["coldRemainingS"] = 0;
+    value["coldRemainingS"] = server.coldMs / 1000.0;
     value["seq"] = 1;
     if (server.startedAtMs > 0)
         value["born"] = Json::Int64{server.startedAtMs};
@@ -221,6 +225,22 @@
     control(json);
 }
 
+void EntryFleet::evacuate(const std::string &domain)
+{
+    Json::Value row;
+    row["table"] = "op";
+    row["key"] = "evacuate/" + domain;
+    row["value"] = Json::Value{Json::objectValue};
+    Json::Value json;
+    json["put"].append(row);
+    control(json);
+}
+
+void EntryFleet::endEvacuation(const std::string &domain)
+{
+    removeRow("op", "evacuate/" + domain);
+}
+
 void EntryFleet::writeRawRecord(const std::string &id, const std::string &value)
 {
     Json::Value row;
@@ -263,6 +283,12 @@
         if (name != "payments")
             config["services"].append(service(name, false));
     }
+    for (Json::Value &entry : config["services"]) {
+        if (m_coldRate <= 0.0)
+            continue;
+        entry["coldPerS"] = m_coldRate;
+        entry["coldStartS"] = std::chrono::duration<double>(m_coldDuration).count();
+    }
     config["limits"]["headerBytes"] = 16'384;
     config["limits"]["bodyBytes"] = 67'108'864;
     config["limits"]["headerTimeoutS"] = 3;
@@ -276,6 +302,12 @@
     m_split = weights;
 }
 
+void EntryFleet::limitColdServers(double rate, std::chrono::milliseconds duration)
+{
+    m_coldRate = rate;
+    m_coldDuration = duration;
+}
+
 void EntryFleet::writeRawConfig(const std::string &text)
 {
     Json::Value row;
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -32,6 +32,9 @@
     std::int64_t startedAtMs = 0;
     /** Requests whose path contains this text crash the server; if empty, none does. */
     std::string crashOn = {};
+    /** Time after its start in which it crashes above coldLimit requests a second; 0: none. */
+    int coldMs = 0;
+    int coldLimit = 0;
 };
 
 /** A request that a backend server ran. Times are on the clock that all processes share. */
@@ -85,6 +88,9 @@
     void removeRecord(const std::string &id);
     /** Removes the row of \a host's daemon, as a planner does when it considers the daemon lost. */
     void removeDaemonRow(const std::string &host);
+    /** Writes the operators' row that evacuates the failure domain \a domain, or removes it. */
+    void evacuate(const std::string &domain);
+    void endEvacuation(const std::string &domain);
     /** Writes \a value, which may be invalid JSON, as the record \a id. */
     void writeRawRecord(const std::string &id, const std::string &value);
 
@@ -100,6 +106,12 @@
      */
     void splitTraffic(const std::map<std::string, int> &weights);
 
+    /**
+     * Adds to all configurations written from now on that servers bear \a rate requests a second
+     * for \a duration after their start.
+     */
+    void limitColdServers(double rate, std::chrono::milliseconds duration);
+
     /** Writes \a text, which must be JSON, as the configuration. */
     void writeRawConfig(const std::string &text);
 
@@ -193,6 +205,8 @@
     std::map<std::string, std::unique_ptr<ChildProcess>> m_servers;
     std::map<std::string, std::unique_ptr<ChildProcess>> m_daemons;
     std::map<std::string, int> m_split;
+    double m_coldRate = 0.0;
+    std::chrono::milliseconds m_coldDuration{0};
     int m_version = 0;
     int m_nextRequest = 1;
     SyncHttpClient m_http;
--- a/tests/entrysettings/test_entrysettings.cpp
+++ b/tests/entrysettings/test_entrysettings.cpp
@@ -85,6 +85,9 @@
         {"{{bounds.configApplyS}}", "3"},
         {"{{#bounds.configApplyS}}\n", ""},
         {"{{/bounds.configApplyS}}\n", ""},
+        {"{{bounds.evacuateS}}", "4.5"},
+        {"{{#bounds.evacuateS}}\n", ""},
+        {"{{/bounds.evacuateS}}\n", ""},
         {"{{bounds.graceS}}", "10"},
         {"{{#bounds.graceS}}\n", ""},
         {"{{/bounds.graceS}}\n", ""},
@@ -131,6 +134,7 @@
     BOOST_TEST(reading.settings.linkMegabits == 20.0);
     BOOST_TEST((reading.settings.serverDrain == 2500ms));
     BOOST_TEST((reading.settings.configInForce == 3s));
+    BOOST_TEST((reading.settings.evacuation == 4500ms));
     BOOST_TEST((reading.settings.drainTime == 9500ms));
 }
 
@@ -140,9 +144,10 @@
     const EntrySettings settings = io::readEntrySettings(defaults.path()).settings;
     BOOST_TEST((settings.serverDrain == 2s));
     BOOST_TEST((settings.configInForce == 2s));
+    BOOST_TEST((settings.evacuation == 5s));
     BOOST_TEST((settings.drainTime == 5500ms));
-    for (const std::string field :
-         {"configInForceSeconds", "serverDrainSeconds", "shutdownGraceSeconds"}) {
+    for (const std::string field : {"configInForceSeconds", "evacuationSeconds",
+                                    "serverDrainSeconds", "shutdownGraceSeconds"}) {
         for (const std::string wrong : {"2s", "0", "-1", "soon", ""}) {
             const std::string problem = problemsOf(validSettings + field + ": " + wrong + "\n");
             BOOST_TEST(problem.find(field) != std::string::npos, wrong << ": " << problem);
--- a/tests/keyworld/keysimulation.cpp
+++ b/tests/keyworld/keysimulation.cpp
@@ -809,6 +809,23 @@
     replaceServer(server);
 }
 
+void KeySimulation::evacuateDomain(const DomainName &domain)
+{
+    addToTrace("domain " + domain.value() + " is evacuated");
+    m_directory.applyEvacuation(domain, m_now, m_now);
+}
+
+void KeySimulation::endEvacuation(const DomainName &domain)
+{
+    addToTrace("domain " + domain.value() + " is back");
+    m_directory.applyReturn(domain, m_now);
+}
+
+void KeySimulation::setColdStart(const ColdStart &coldStart)
+{
+    m_directory.setColdStarts({{service, coldStart}});
+}
+
 void KeySimulation::drainServer(std::size_t index)
 {
     Server &server = *m_servers[index];
--- a/tests/keyworld/keysimulation.h
+++ b/tests/keyworld/keysimulation.h
@@ -86,6 +86,14 @@
     /** Stops the server; its record expires later, and another run registers after a delay. */
     void crashServer(std::size_t index);
     void drainServer(std::size_t index);
+    /**
+     * Evacuates the failure domain \a domain, or ends that, which leaves its servers cold if they
+     * have a cold start.
+     */
+    void evacuateDomain(const DomainName &domain);
+    void endEvacuation(const DomainName &domain);
+    /** Sets how servers behave after their start; by default they bear any number of requests. */
+    void setColdStart(const ColdStart &coldStart);
     /** Removes the record of the server, which keeps running. */
     void removeServerRecord(std::size_t index);
     /**
--- a/tests/keyworld/test_keysessions.cpp
+++ b/tests/keyworld/test_keysessions.cpp
@@ -180,3 +180,27 @@
     simulation.at(settlingTime + 1s, [this] { simulation.restartServer(0, 300ms, 300ms); });
     finish("server-restarts-without-store");
 }
+
+BOOST_FIXTURE_TEST_CASE(domainIsEvacuatedAndReturnsCold, Session)
+{
+    simulation.setColdStart({3s, 5.9});
+    simulation.at(settlingTime, [this] { simulation.evacuateDomain(DomainName{"a"}); });
+    simulation.at(settlingTime + 8s, [this] { simulation.endEvacuation(DomainName{"a"}); });
+    finish("domain-evacuated");
+}
+
+BOOST_FIXTURE_TEST_CASE(plannerIsKilledInAnEvacuation, Session)
+{
+    simulation.at(settlingTime, [this] { simulation.killDaemon(simulation.planner()); });
+    simulation.at(settlingTime + 100ms, [this] { simulation.evacuateDomain(DomainName{"a"}); });
+    finish("planner-killed-in-evacuation");
+}
+
+BOOST_FIXTURE_TEST_CASE(allDomainsAreEvacuated, Session)
+{
+    simulation.at(settlingTime, [this] {
+        simulation.evacuateDomain(DomainName{"a"});
+        simulation.evacuateDomain(DomainName{"b"});
+    });
+    finish("all-domains-evacuated");
+}
--- a/tests/loadworld/loadsimulation.cpp
+++ b/tests/loadworld/loadsimulation.cpp
@@ -43,7 +43,8 @@
 struct LoadSimulation::Daemon
 {
     ServerGauges gauges;
-    ServerPicker picker{gauges, DomainName{"a"}};
+    SlowStart slowStart;
+    ServerPicker picker{gauges, slowStart, DomainName{"a"}};
     RequestQueue queue{picker};
     KeyGate gate;
     std::map<std::uint64_t, Request> open;
--- a/tests/platformadapter/test_platformformats.cpp
+++ b/tests/platformadapter/test_platformformats.cpp
@@ -23,7 +23,8 @@
 namespace {
 
 const std::string configText = R"({"version":"0000000c","novelty":1,
-  "services":[{"name":"cat","maxConns":110,"sharded":true},{"name":"pay"}],
+  "services":[{"name":"cat","maxConns":110,"sharded":true,"coldStartS":3.5,"coldPerS":5.9},
+              {"name":"pay"},{"name":"steady","coldStartS":3.5,"coldPerS":0}],
   "limits":{"headerBytes":16384,"bodyBytes":1000,"headerTimeoutS":3,"idleTimeoutS":15.5},
   "hosts":[{"host":"shop.example","paths":[
     {"name":"r1","prefix":"/a/","kind":"safe","timeoutS":2,"targetLatencyS":0.6,"priority":2,
@@ -66,6 +67,9 @@
     BOOST_TEST(config.version == 12U);
     BOOST_TEST(config.services[0].isDividedByKey);
     BOOST_TEST(!config.services[1].isDividedByKey);
+    BOOST_TEST((config.services[0].coldStart == ColdStart{3500ms, 5.9}));
+    BOOST_TEST(!config.services[1].coldStart.has_value());
+    BOOST_TEST(!config.services[2].coldStart.has_value());
     BOOST_TEST((config.limits.idleTime == 15500ms));
     const auto &routes = config.hosts[0].routes;
     BOOST_TEST((routes[0].kind == RequestKind::Idempotent));
@@ -88,6 +92,12 @@
                == "timeoutS: must be seconds above 0 and at most a day");
     BOOST_TEST(decodeError(replaceFirst(configText, "\"weight\":90", "\"weight\":\"much\""))
                == "weight: must be a number");
+    for (const std::string wrong : {"-1", "\"many\"", "null", "1e300"})
+        BOOST_TEST(
+            decodeError(replaceFirst(configText, "\"coldPerS\":5.9", "\"coldPerS\":" + wrong))
+            == "coldPerS: must be a number of requests per second");
+    BOOST_TEST(decodeError(replaceFirst(configText, "\"coldStartS\":3.5", "\"coldStartS\":-1"))
+               == "coldStartS: must be seconds above 0 and at most a day");
     BOOST_TEST(decodeError(replaceFirst(configText, "\"hosts\":[", "\"hosts\":5,\"x\":["))
                == "hosts: must be a list");
 }
--- a/tests/requestqueue/test_requestqueue.cpp
+++ b/tests/requestqueue/test_requestqueue.cpp
@@ -28,7 +28,8 @@
 {
     RoutingState state;
     ServerGauges gauges;
-    ServerPicker picker{gauges, DomainName{"a"}};
+    SlowStart slowStart;
+    ServerPicker picker{gauges, slowStart, DomainName{"a"}};
     RequestQueue queue{picker};
     std::uint64_t nextTicket = 1;
 
@@ -296,3 +297,86 @@
     for (const auto &[ticket, reason] : givenUpReasons)
         BOOST_TEST((reason == GiveUpReason::QueueTooLong));
 }
+
+BOOST_FIXTURE_TEST_CASE(evacuatedDomainReceivesNoRequestsButForKeysThatStillMove, Fixture)
+{
+    state.servers[plain][0].evacuatedAfter = start;
+    state.servers[keyed][0].evacuatedAfter = start;
+    queue.add(request(plain, start));
+    BOOST_TEST(dispatch(start).at(1) == "p2");
+    // By default the bound is 5 s; more than half of it is for the connection and the link.
+    queue.add(keyedRequest(5, start + 2200ms));
+    BOOST_TEST(dispatch(start + 2200ms).at(2) == "c1");
+    BOOST_TEST((picker.maxSendAge(state.servers[keyed][0]) == start + 3250ms));
+    queue.add(keyedRequest(5, start + 2251ms));
+    std::map<std::uint64_t, GiveUpReason> givenUpReasons;
+    BOOST_TEST(dispatch(start + 2251ms, &givenUpReasons).empty());
+    BOOST_TEST(givenUpReasons.empty()); // its key is moving to c2
+}
+
+BOOST_FIXTURE_TEST_CASE(requestsAreRefusedAtOnceIfAllDomainsAreEvacuated, Fixture)
+{
+    for (const ServiceName &service : {plain, keyed}) {
+        for (KnownServer &server : state.servers[service])
+            server.evacuatedAfter = start;
+    }
+    queue.add(request(plain, start + 3s));
+    queue.add(keyedRequest(5, start + 3s));
+    std::map<std::uint64_t, GiveUpReason> givenUpReasons;
+    BOOST_TEST(dispatch(start + 3s, &givenUpReasons).empty());
+    BOOST_TEST((givenUpReasons.at(1) == GiveUpReason::Evacuated));
+    BOOST_TEST((givenUpReasons.at(2) == GiveUpReason::Evacuated));
+}
+
+BOOST_FIXTURE_TEST_CASE(noServerIsUsedWithOutdatedDataOnEvacuationsWhileStoreAnswers, Fixture)
+{
+    picker.setEvacuationFreshness({start, false});
+    queue.add(request(plain, start + 3s));
+    BOOST_TEST(dispatch(start + 3s).at(1) == "p1");
+    BOOST_TEST((picker.maxSendAge(state.servers[plain][0]) == start + 3250ms));
+    queue.add(request(plain, start + 3001ms));
+    BOOST_TEST(dispatch(start + 3001ms).empty());
+    picker.setEvacuationFreshness({start, true});
+    BOOST_TEST(dispatch(start + 3001ms).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(coldServersReceiveRequestsFromTheirSendersOnly, Fixture)
+{
+    for (const ServiceName &service : {plain, keyed}) {
+        for (KnownServer &server : state.servers[service]) {
+            server.coldUntil = start + 3s;
+            server.coldRate = 4.0;
+        }
+    }
+    state.daemonCount = 12;
+    queue.add(request(plain, start));
+    queue.add(keyedRequest(5, start));
+    std::map<std::uint64_t, GiveUpReason> givenUpReasons;
+    BOOST_TEST(dispatch(start, &givenUpReasons).empty());
+    BOOST_TEST((givenUpReasons.at(1) == GiveUpReason::Cold));
+    BOOST_TEST((givenUpReasons.at(2) == GiveUpReason::Cold));
+
+    state.slowStartRanks = {{ServerName{"p2"}, 1}, {ServerName{"c1"}, 0}};
+    queue.add(request(plain, start));
+    queue.add(keyedRequest(5, start));
+    const auto sent = dispatch(start);
+    BOOST_TEST(sent.at(3) == "p2");
+    BOOST_TEST(sent.at(4) == "c1");
+    slowStart.recordSend(state.servers[plain][1], start);
+    slowStart.recordSend(state.servers[keyed][0], start);
+    queue.add(request(plain, start));
+    queue.add(keyedRequest(5, start));
+    BOOST_TEST(dispatch(start + 499ms).empty());
+    BOOST_TEST(dispatch(start + 500ms).size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(warmServersAreUsedInPlaceOfColdOnes, Fixture)
+{
+    state.servers[plain][0].coldUntil = start + 3s;
+    state.servers[plain][0].coldRate = 4.0;
+    state.daemonCount = 12;
+    queue.add(request(plain, start));
+    BOOST_TEST(dispatch(start).at(1) == "p2");
+    queue.add(request(plain, start + 5s));
+    BOOST_TEST(dispatch(start + 5s).at(2) == "p1");
+}
--- a/tests/routing/test_serverdirectory.cpp
+++ b/tests/routing/test_serverdirectory.cpp
@@ -110,3 +110,79 @@
     BOOST_TEST(!isReady(directory, "one@3"));
     BOOST_TEST(isReady(directory, "two"));
 }
+
+BOOST_AUTO_TEST_CASE(evacuatedDomainHasNoReadyServers)
+{
+    ServerDirectory directory;
+    directory.applyRecord(record("one"), start, start);
+    ServerRecord other = record("other");
+    other.domain = DomainName{"b"};
+    directory.applyRecord(other, start, start);
+    directory.applyEvacuation(DomainName{"a"}, start + 2s, start + 1s);
+    directory.applyEvacuation(DomainName{"a"}, start + 3s, start + 3s);
+    directory.applyEvacuation(DomainName{"nowhere"}, start + 3s, start + 3s);
+    BOOST_TEST(!isReady(directory, "one"));
+    BOOST_TEST(isReady(directory, "other"));
+    BOOST_TEST((directory.find(ServerName{"one"})->evacuatedAfter == start + 1s));
+    BOOST_TEST(directory.evacuations().size() == 2U);
+    // Servers that register there meanwhile are not used either.
+    directory.applyRecord(record("new"), start + 4s, start + 4s);
+    BOOST_TEST(!isReady(directory, "new"));
+    directory.applyRecord(record("one"), start + 4s, start + 4s);
+    BOOST_TEST((directory.find(ServerName{"one"})->evacuatedAfter == start + 1s));
+    directory.applyReturn(DomainName{"a"}, start + 5s);
+    BOOST_TEST(isReady(directory, "one"));
+    BOOST_TEST(isReady(directory, "new"));
+}
+
+BOOST_AUTO_TEST_CASE(serverIsColdForTheTimeInItsRecord)
+{
+    ServerDirectory directory;
+    directory.setColdStarts({{ServiceName{"s"}, {3s, 5.9}}});
+    ServerRecord cold = record("one");
+    cold.coldRemaining = 2s;
+    directory.applyRecord(cold, start, start);
+    const KnownServer *server = directory.find(ServerName{"one"});
+    BOOST_TEST(server->coldRate == 5.9);
+    BOOST_TEST(server->isCold(start + 1999ms));
+    BOOST_TEST(!server->isCold(start + 2s));
+    // The same record read again is no news of a later time.
+    directory.applyRecord(cold, start + 1s, start + 1s);
+    BOOST_TEST(!server->isCold(start + 2s));
+    // It becomes cold again.
+    cold.coldRemaining = 3s;
+    directory.applyRecord(cold, start + 10s, start + 10s);
+    BOOST_TEST(server->isCold(start + 12s));
+    cold.coldRemaining = 0s;
+    directory.applyRecord(cold, start + 11s, start + 11s);
+    BOOST_TEST(!server->isCold(start + 11s));
+}
+
+BOOST_AUTO_TEST_CASE(serversMayBeColdAfterAnEvacuation)
+{
+    ServerDirectory directory;
+    directory.setColdStarts({{ServiceName{"s"}, {3s, 5.9}}});
+    directory.applyRecord(record("one"), start, start);
+    directory.applyEvacuation(DomainName{"a"}, start + 1s, start + 1s);
+    directory.applyReturn(DomainName{"a"}, start + 9s);
+    const KnownServer *server = directory.find(ServerName{"one"});
+    BOOST_TEST(server->isCold(start + 11999ms));
+    BOOST_TEST(!server->isCold(start + 12s));
+    // A record that was written before the server became cold proves nothing.
+    ServerRecord rewritten = record("one");
+    rewritten.slots = 4;
+    directory.applyRecord(rewritten, start + 10s, start + 10s);
+    BOOST_TEST(server->isCold(start + 11s));
+    // The same holds for a server whose record comes only now.
+    directory.applyRecord(record("late"), start + 10s, start + 10s);
+    BOOST_TEST(directory.find(ServerName{"late"})->isCold(start + 11s));
+}
+
+BOOST_AUTO_TEST_CASE(servicesWithoutColdStartHaveNoLimit)
+{
+    ServerDirectory directory;
+    directory.applyRecord(record("one"), start, start);
+    BOOST_TEST(directory.find(ServerName{"one"})->coldRate == 0.0);
+    directory.setColdStarts({{ServiceName{"s"}, {3s, 5.9}}});
+    BOOST_TEST(directory.find(ServerName{"one"})->coldRate == 5.9);
+}
--- a/tests/standins/keyed/keyedserver.cpp
+++ b/tests/standins/keyed/keyedserver.cpp
@@ -185,6 +185,8 @@
 
 void KeyedServer::acceptWork(const RequestHandle &request)
 {
+    if (isOverloadedWhileCold())
+        std::_Exit(crashExitCode);
     Work work{request, headerField(request, requestIdHeader), parsedShardKey(request), 0};
     if (m_settings.requiresGrant && (!work.key || !m_leases.holds(*work.key, now()))) {
         std::vector<HeaderField> headers = answerHeaders(work.requestId);
@@ -243,6 +245,18 @@
         && path.find(m_settings.crashPathSubstring) != std::string_view::npos;
 }
 
+/** Records the arrival of a request. \returns whether the server does not bear it. */
+bool KeyedServer::isOverloadedWhileCold()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (m_settings.coldRequestLimit == 0 || now - m_startedAt >= m_settings.coldTime)
+        return false;
+    while (!m_coldArrivals.empty() && now - m_coldArrivals.front() > std::chrono::seconds{1})
+        m_coldArrivals.pop_front();
+    m_coldArrivals.push_back(now);
+    return m_coldArrivals.size() > m_settings.coldRequestLimit;
+}
+
 void KeyedServer::sendAnswer(const Work &work)
 {
     Answer answer{200, answerHeaders(work.requestId), {}};
--- a/tests/standins/keyed/keyedserver.h
+++ b/tests/standins/keyed/keyedserver.h
@@ -37,6 +37,12 @@
     bool hangsWhenQueueFull = false;
     /** The process exits when it finishes a request whose path contains this text; empty: never. */
     std::string crashPathSubstring = {};
+    /**
+     * The process exits when it receives more requests than this in one second of its cold time,
+     * which begins at its start; 0: it bears any number.
+     */
+    std::size_t coldRequestLimit = 0;
+    std::chrono::milliseconds coldTime{0};
 };
 
 /** Faults in the answers to requests that were executed. */
@@ -101,6 +107,7 @@
     void start(Work work);
     void finish(std::list<Work>::iterator entry);
     bool triggersCrash(const Work &work) const;
+    bool isOverloadedWhileCold();
     void sendAnswer(const Work &work);
     bool targetsOtherInstance(const RequestHandle &request) const;
     std::optional<AnswerFault> nextAnswerFault();
@@ -125,6 +132,9 @@
     /** How many of the next orders are left unanswered, and after which delay they are executed. */
     int m_ordersToDelay = 0;
     std::chrono::milliseconds m_orderDelay{0};
+    std::chrono::steady_clock::time_point m_startedAt = std::chrono::steady_clock::now();
+    /** When the requests of the last second arrived, while the server is cold. */
+    std::deque<std::chrono::steady_clock::time_point> m_coldArrivals;
     std::unique_ptr<Listener> m_listener;
 };
 
--- a/tests/standins/keyed/main.cpp
+++ b/tests/standins/keyed/main.cpp
@@ -17,6 +17,7 @@
     KeyedSettings settings;
     std::string endpoint;
     unsigned serviceMs = 5;
+    unsigned coldMs = 0;
     CLI::App app{"Stands in for a backend server that holds keys by leases."};
     app.add_option("--listen", endpoint, "IP:PORT; port 0 lets the system choose");
     app.add_option("--id", settings.id, "of this run");
@@ -29,9 +30,13 @@
                  "don't answer what can't be queued");
     app.add_option("--crash-on", settings.crashPathSubstring,
                    "work on paths with this text ends the process");
+    app.add_option("--cold-ms", coldMs, "time after the start in which it bears few requests");
+    app.add_option("--cold-limit", settings.coldRequestLimit,
+                   "requests in one second of that time beyond which the process ends");
     CLI11_PARSE(app, argc, argv);
     terminateWithParent();
     settings.serviceTime = std::chrono::milliseconds{serviceMs};
+    settings.coldTime = std::chrono::milliseconds{coldMs};
     try {
         const ListenerSettings listener = parsedEndpoint(endpoint);
         settings.listener.ip = listener.ip;
