--- a/tests/platformadapter/test_storeclient.cpp
+++ b/tests/platformadapter/test_storeclient.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/storeclient.h"
 
+#include "httpclient/scriptedserver.h"
 #include "process/scalartype.h"
 #include "standinprocess/childprocess.h"
 #include "standinprocess/synchttpclient.h"
@@ -11,6 +12,9 @@
 
 #include <functional>
 #include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace bulrush;
 using namespace bulrush::platform;
@@ -90,6 +94,63 @@
     BOOST_TEST(read("t").rows.size() == 1200U);
 }
 
+BOOST_FIXTURE_TEST_CASE(readsKeysThatContinueTheLastKeyOfAPage, Fixture)
+{
+    // The store answers with pages of 500 rows, so that the first one ends with the key "last".
+    std::vector<ConditionalWrite> writes;
+    for (int i = 0; i < 499; ++i) {
+        writes.push_back({"a" + std::to_string(1000 + i), 0, "v"});
+        if (writes.size() == 100 || i == 498) {
+            BOOST_TEST(!commit(writes).error);
+            writes.clear();
+        }
+    }
+    const std::string last = "last";
+    BOOST_TEST(!commit({{last, 0, "v"},
+                        {last + '\0', 0, "v"},
+                        {last + '\x01', 0, "v"},
+                        {last + "\x01x", 0, "v"}})
+                    .error);
+    const RowsOutcome rows = read("t");
+    BOOST_REQUIRE(rows.rows.size() == 503U);
+    BOOST_TEST(rows.rows[499].key == last);
+    BOOST_TEST((rows.rows[500].key == last + '\0'));
+    BOOST_TEST((rows.rows[501].key == last + '\x01'));
+}
+
+BOOST_AUTO_TEST_CASE(truncatedPageWithoutNewRowsIsABadAnswer)
+{
+    const std::string row = R"({"table":"t","part":"","key":"a","value":"dg==","rowVersion":3})";
+    const std::vector<std::pair<std::string, std::size_t>> pages{{"", 1}, {row, 2}};
+    for (const auto &[rows, calls] : pages) {
+        asio::io_context loop;
+        std::size_t answered = 0;
+        const std::string body =
+            R"({"rows":[)" + rows + R"(],"truncated":true,"rowVersion":4,"nowS":1.0})";
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+        ScriptedServer server{loop,
+                              [&](ScriptedServer::Socket &socket, int) -> asio::awaitable<void> {
+                                  std::string buffer;
+                                  for (;;) {
+                                      co_await ScriptedServer::readHead(socket, buffer);
+                                      ++answered;
+                                      co_await ScriptedServer::write(socket, answer);
+                                  }
+                              }};
+        const std::string url = server.url("");
+        io::ServerClient client{loop};
+        StoreClient store{client, *io::endpoint(io::PortZero::Refused)
+                                       .parse(url.substr(std::string{"http://"}.size()))};
+        std::optional<RowsOutcome> outcome;
+        store.read("t", [&](RowsOutcome received) { outcome = std::move(received); });
+        while (!outcome && loop.run_one() > 0) { }
+        BOOST_REQUIRE(outcome.has_value());
+        BOOST_TEST(outcome->error == StoreError::BadAnswer);
+        BOOST_TEST(answered == calls);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(followsChanges, Fixture)
 {
     const CommitOutcome initialCommit = commit({{"a", 0, "1"}});
