--- a/src/libbulrush/process/crashwatch.cpp
+++ b/src/libbulrush/process/crashwatch.cpp
@@ -4,6 +4,13 @@
 
 namespace bulrush {
 
+namespace {
+
+constexpr int firstServerError = 500;
+constexpr int gatewayTimeout = 504;
+
+} // namespace
+
 std::optional<CrashReport> CrashWatch::lost(const CrashReport &report, Loss loss, Instant now)
 {
     if (m_crashedAt.contains(report.server))
@@ -15,6 +22,14 @@
     return std::nullopt;
 }
 
+bool CrashWatch::answered(const CrashReport &report, int status, Instant now)
+{
+    serverAnswered(report.server);
+    if (status == gatewayTimeout)
+        lost(report, Loss::Abandoned, now);
+    return status < firstServerError;
+}
+
 std::vector<CrashReport> CrashWatch::serverEnded(const ServerName &server, Instant now)
 {
     m_crashedAt[server] = now;
--- a/src/libbulrush/process/crashwatch.h
+++ b/src/libbulrush/process/crashwatch.h
@@ -36,12 +36,20 @@
     /** Reason why a request received no answer from the server to which it was sent. */
     enum class Loss {
         Broke,     ///< the connection broke
-        Abandoned, ///< the deadline passed or the caller disconnected
+        Abandoned, ///< the deadline passed or the caller disconnected; the work may still run
     };
 
     /** Records a request without an answer. \returns a report if its server has crashed already. */
     std::optional<CrashReport> lost(const CrashReport &report, Loss loss, Instant now);
 
+    /**
+     * Records an answer with \a status to a request. An answer that a server gives because the
+     * deadline has passed leaves the work running, so that the request stays stored like one without
+     * an answer. \returns whether the answer shows that the request does not crash servers, which
+     * only completed work does.
+     */
+    bool answered(const CrashReport &report, int status, Instant now);
+
     /** Records that a server has crashed. \returns the reports of the requests in flight there. */
     std::vector<CrashReport> serverEnded(const ServerName &server, Instant now);
 
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -340,10 +340,7 @@
         refuseNotRun(isKeyMissing ? "server-has-not-the-key" : "server-refused");
         return;
     }
-    m_context.crashes.serverAnswered(m_server);
-    m_context.answeredRequests.note(*m_fingerprint, now);
-    if (!m_context.quarantine->crashedServers(*m_fingerprint).empty())
-        m_context.crashHandlers.answered(*m_fingerprint);
+    recordCrashEvidence(response.status);
     // No encoding was requested, so an encoded body can't be the intended answer.
     const bool isEncoded = io::findField(response.headers, "Content-Encoding") != nullptr;
     if (isEncoded || isFailure) {
@@ -403,6 +400,17 @@
     return scheduleRetry(Duration::zero());
 }
 
+/** Records whether an answer shows that the request does not crash servers. */
+void ForwardExchange::recordCrashEvidence(int status)
+{
+    const Instant now = io::hostNow();
+    if (!m_context.crashes.answered({*m_fingerprint, m_server, m_crashedBefore}, status, now))
+        return;
+    m_context.answeredRequests.note(*m_fingerprint, now);
+    if (!m_context.quarantine->crashedServers(*m_fingerprint).empty())
+        m_context.crashHandlers.answered(*m_fingerprint);
+}
+
 /** Records that the server had the request and gave no answer: the request may have crashed it. */
 void ForwardExchange::recordLostAttempt(CrashWatch::Loss loss)
 {
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -52,6 +52,7 @@
     bool beginProbe();
     void endProbe();
     void recordLostAttempt(CrashWatch::Loss loss);
+    void recordCrashEvidence(int status);
     void enqueue(Instant notBefore);
     Instant recordChoice();
     void logAttemptTimes(const io::CallTimes &times);
--- a/tests/crashes/test_crashwatch.cpp
+++ b/tests/crashes/test_crashwatch.cpp
@@ -57,6 +57,33 @@
     BOOST_TEST(watch.serverEnded(server, now + 1s).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(requestAnsweredAtItsDeadlineBeforeCrashIsReported)
+{
+    // The server gave up waiting with 3 ms left, and ended 12 ms later.
+    CrashWatch watch;
+    const Instant now{10s};
+    BOOST_TEST(!watch.answered(reportOf(1), 504, now));
+    BOOST_TEST(watch.suspectedServers().empty());
+    const std::vector<CrashReport> reports = watch.serverEnded(server, now + 12ms);
+    BOOST_REQUIRE(reports.size() == 1U);
+    BOOST_TEST((reports.front().request == requestNumber(1)));
+}
+
+BOOST_AUTO_TEST_CASE(onlyCompletedWorkShowsThatARequestIsHarmless)
+{
+    CrashWatch watch;
+    const Instant now{10s};
+    for (const int status : {200, 204, 302, 404})
+        BOOST_TEST(watch.answered(reportOf(1), status, now), status);
+    for (const int status : {500, 502, 503, 504})
+        BOOST_TEST(!watch.answered(reportOf(2), status, now), status);
+    // A server that has answered with a failure of its own has finished the work.
+    BOOST_TEST(watch.answered(reportOf(3), 200, now));
+    BOOST_TEST(!watch.answered(reportOf(4), 500, now));
+    for (const CrashReport &report : watch.serverEnded(server, now + 1ms))
+        BOOST_TEST((report.request == requestNumber(2)));
+}
+
 BOOST_AUTO_TEST_CASE(connectionBreakDetectedAfterCrashIsReported)
 {
     CrashWatch watch;
