Show evacuations, and tell the store from the rows on the status page

bulrushctl evacuation show and check ask each daemon's page /evacuations: what is evacuated and since when, keys and requests left there, and whether the servers of the other domains would have slots for what is in flight.

bulrush_store_reached and the status page's 'store' were true while rows came only through another daemon. They now say whether the store answers this daemon; bulrush_rows_followed and 'rows' say whether rows come at all.

--- a/src/bulrushctl/commandline.cpp
+++ b/src/bulrushctl/commandline.cpp
@@ -3,6 +3,7 @@
 #include "console.h"
 #include "contractcommands.h"
 #include "daemonaccess.h"
+#include "evacuationcommands.h"
 #include "operatorcommands.h"
 #include "platformaccess.h"
 #include "process/scalartype.h"
@@ -111,6 +112,7 @@
 
     ContractCommands contracts();
     OperatorCommands operators();
+    EvacuationCommands evacuations();
     ChangeOptions changeOptions() const;
     LeaveOptions leaveOptions() const;
     BurnFormat burnFormat() const;
@@ -149,6 +151,11 @@
             {m_arguments.changedBy, m_requestId, m_writer, {maxWriteAttempts, sleepBeforeRetry}}};
 }
 
+EvacuationCommands Session::evacuations()
+{
+    return {m_daemons, m_console};
+}
+
 ChangeOptions Session::changeOptions() const
 {
     return {{m_arguments.changedBy, m_requestId}, m_arguments.isConfirmed, waitTimeout()};
@@ -188,6 +195,7 @@
     void addGlobalOptions();
     void addContractCommands();
     void addHostCommands();
+    void addEvacuationCommands();
     void addOtherCommands();
     void addChangeOptions(CLI::App *command);
     void addWaitOptions(CLI::App *command, const char *description);
@@ -211,6 +219,7 @@
     addGlobalOptions();
     addContractCommands();
     addHostCommands();
+    addEvacuationCommands();
     addOtherCommands();
 }
 
@@ -319,6 +328,19 @@
     addWaitOptions(leave, "Show how far it is, and wait until the host is gone");
 }
 
+void CommandLineParser::addEvacuationCommands()
+{
+    CLI::App *group = addGroup("evacuation", "Evacuations of failure domains");
+    addCommand(group, "show", "Print the evacuated domains and what is left there",
+               [](Session &session) { return session.evacuations().show(); });
+    CLI::App *check =
+        addCommand(group, "check", "Print what an evacuation would mean for each service",
+                   [this](Session &session) {
+                       return session.evacuations().check(DomainName{m_arguments.name});
+                   });
+    addName(check, "DOMAIN", "The failure domain that is to be evacuated");
+}
+
 void CommandLineParser::addOtherCommands()
 {
     CLI::App *assignment = addGroup("assignment", "Who owns which keys");
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -4,6 +4,7 @@
 #include "peerpaths.h"
 #include "process/hostclock.h"
 #include "process/logging.h"
+#include "version/evacuationreportcodec.h"
 #include "version/loadsamplecodec.h"
 
 #include <asio/post.hpp>
@@ -23,6 +24,8 @@
 constexpr int notFound = 404;
 constexpr int serviceUnavailable = 503;
 
+/** The page of evacuations and the servers that they concern, as JSON. */
+constexpr std::string_view evacuationsPath = "/evacuations";
 /** The page of requests during which servers crashed, for operators. */
 constexpr std::string_view quarantinePath = "/quarantine";
 /** Followed by the fingerprint of the request to admit again. */
@@ -158,7 +161,7 @@
     settings.port = address.port;
     return std::make_unique<io::CallerServer>(
         m_loop, settings,
-        [this](const auto &request, const auto &writer) { answer(*request, *writer); });
+        [this](const auto &request, const auto &writer) { answer(*request, writer); });
 }
 
 void EntryDaemon::printAddresses() const
@@ -276,23 +279,40 @@
     return io::plainTextResponse(ok, "lifted\n");
 }
 
-void EntryDaemon::answer(const io::IncomingRequest &request, io::ResponseWriter &writer)
+void EntryDaemon::answer(const io::IncomingRequest &request,
+                         const std::shared_ptr<io::ResponseWriter> &writer)
 {
     const std::string &target = request.head().target;
     if (target == "/readyz")
-        writer.send(io::plainTextResponse(isReady() ? ok : serviceUnavailable,
-                                          isReady() ? "ready\n" : "not ready\n"));
+        writer->send(io::plainTextResponse(isReady() ? ok : serviceUnavailable,
+                                           isReady() ? "ready\n" : "not ready\n"));
     else if (target == "/metrics")
-        writer.send(io::plainTextResponse(ok, metricsText()));
+        writer->send(io::plainTextResponse(ok, metricsText()));
     else if (target == "/status")
-        writer.send(io::plainTextResponse(ok, statusText()));
+        writer->send(io::plainTextResponse(ok, statusText()));
+    else if (target == evacuationsPath)
+        answerEvacuations(writer);
     else if (target == quarantinePath)
-        writer.send(io::plainTextResponse(ok, m_crashes.page()));
+        writer->send(io::plainTextResponse(ok, m_crashes.page()));
     else if (target.starts_with(liftPath))
-        writer.send(lift(request));
+        writer->send(lift(request));
     else
-        writer.send(
-            io::plainTextResponse(notFound, "pages: /readyz, /metrics, /status, /quarantine\n"));
+        writer->send(io::plainTextResponse(
+            notFound, "pages: /readyz, /metrics, /status, /evacuations, /quarantine\n"));
+}
+
+/** Answers with the evacuations and the use of the servers, for `bulrushctl evacuation`. */
+void EntryDaemon::answerEvacuations(const std::shared_ptr<io::ResponseWriter> &writer)
+{
+    m_worker.collectServiceUse([this, writer](std::vector<ServiceUse> services) {
+        asio::post(m_loop, [this, writer, services = std::move(services)]() mutable {
+            const EvacuationReport report{m_settings.host,
+                                          evacuatedDomains(m_state.directory(), io::hostNow()),
+                                          std::move(services)};
+            writer->send(
+                {ok, {{"Content-Type", "application/json"}}, io::encodeEvacuationReport(report)});
+        });
+    });
 }
 
 std::string EntryDaemon::metricsText() const
@@ -302,7 +322,8 @@
         + "\nbulrush_open_requests " + std::to_string(m_worker.openCount()) + '\n'
         + m_state.configMetrics(io::hostNow()) + "bulrush_planning "
         + (m_keys.isPlanning() ? "1" : "0") + "\nbulrush_store_reached "
-        + (m_keys.isStoreReached() ? "1" : "0") + '\n';
+        + (m_keys.isStoreReached() ? "1" : "0") + "\nbulrush_rows_followed "
+        + (m_keys.areRowsFollowed() ? "1" : "0") + '\n';
 }
 
 std::string EntryDaemon::statusText() const
@@ -316,6 +337,7 @@
     text += "servers: " + std::to_string(m_state.directory().servers().size()) + '\n';
     text += std::string{"planner: "} + (m_keys.isPlanning() ? "yes" : "no") + '\n';
     text += std::string{"store: "} + (m_keys.isStoreReached() ? "reached" : "lost") + '\n';
+    text += std::string{"rows: "} + (m_keys.areRowsFollowed() ? "followed" : "lost") + '\n';
     text += "open: " + std::to_string(m_worker.openCount()) + '\n';
     return text;
 }
--- a/src/libbulrushentry/entrydaemon.h
+++ b/src/libbulrushentry/entrydaemon.h
@@ -61,7 +61,9 @@
     void reportLoads(std::vector<LoadSample> samples);
     bool isReady() const;
     void connectCrashControl();
-    void answer(const io::IncomingRequest &request, io::ResponseWriter &writer);
+    void answer(const io::IncomingRequest &request,
+                const std::shared_ptr<io::ResponseWriter> &writer);
+    void answerEvacuations(const std::shared_ptr<io::ResponseWriter> &writer);
     io::HttpResponse lift(const io::IncomingRequest &request);
     std::string metricsText() const;
     std::string statusText() const;
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -106,6 +106,17 @@
     asio::post(m_loop, [this, handler = std::move(handler)] { handler(collectSamples()); });
 }
 
+void ForwardWorker::collectServiceUse(ServiceUseHandler handler)
+{
+    asio::post(m_loop, [this, handler = std::move(handler)] {
+        const auto inFlight = [this](const ServerName &server) {
+            return static_cast<std::uint64_t>(m_context.gauges.inFlight(server));
+        };
+        handler(m_context.state ? serviceUse(*m_context.state, inFlight)
+                                : std::vector<ServiceUse>{});
+    });
+}
+
 void ForwardWorker::stop()
 {
     if (!m_thread.joinable())
--- a/src/libbulrushentry/forwardworker.h
+++ b/src/libbulrushentry/forwardworker.h
@@ -3,6 +3,7 @@
 #include "connection/callerserver.h"
 #include "forwardcontext.h"
 #include "process/entrysettings.h"
+#include "process/evacuationreport.h"
 #include "version/serviceload.h"
 
 #include <asio/executor_work_guard.hpp>
@@ -70,6 +71,11 @@
     /** Passes the loads since the last call to \a handler, on the traffic thread. Thread safe. */
     void collectLoads(LoadHandler handler);
 
+    using ServiceUseHandler = std::function<void(std::vector<ServiceUse>)>;
+
+    /** Passes the use of the backend servers to \a handler, on the traffic thread. Thread safe. */
+    void collectServiceUse(ServiceUseHandler handler);
+
     /** \returns how many requests have no answer yet. Thread safe. */
     std::size_t openCount() const;
 
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -168,11 +168,16 @@
     return table == m_ownership.table() ? &m_ownership : nullptr;
 }
 
-bool KeyControl::isStoreReached() const
+bool KeyControl::areRowsFollowed() const
 {
     return m_ownership.hasRows() && !m_ownership.isFailing();
 }
 
+bool KeyControl::isStoreReached() const
+{
+    return m_ownership.hasRows() && !m_deps.follow.plan.isStoreFailing();
+}
+
 void KeyControl::addLoads(std::span<const LoadSample> samples)
 {
     m_coordinator.addLoads(samples, io::hostNow());
--- a/src/libbulrushentry/keycontrol.h
+++ b/src/libbulrushentry/keycontrol.h
@@ -66,7 +66,13 @@
     /** \returns the follower of \a table, or null if this object does not follow it. */
     const TableFollower *follower(std::string_view table) const;
 
-    /** \returns whether the rows are loaded and the last call had a working source. */
+    /** \returns whether the rows are loaded and come from the store or another daemon. */
+    bool areRowsFollowed() const;
+
+    /**
+     * \returns whether the store has not failed to answer this daemon. A daemon that follows rows
+     * through another one only learns this by calls of its own.
+     */
     bool isStoreReached() const;
 
     /** Adds loads reported by a daemon, if this one is the planner, and records stopped servers. */
--- a/tests/bulrushctl/test_daemoncommands.cpp
+++ b/tests/bulrushctl/test_daemoncommands.cpp
@@ -165,3 +165,52 @@
     BOOST_TEST(result.out == io::burnCsv(burnReport(one, expected)));
     BOOST_TEST(result.out.find("leuvensport,read-item") != std::string::npos);
 }
+
+namespace {
+
+std::string evacuationReport(const std::string &host, int inFlight)
+{
+    return answer("200 OK",
+                  R"({"host": ")" + host
+                      + R"(", "evacuated": [{"domain": "ghent", "age": 4200000000}], "services": [
+        {"service": "payments", "domains": [
+          {"domain": "antwerp", "servers": 2, "slots": 4, "keys": 65000, "inFlight": )"
+                      + std::to_string(inFlight) + R"(},
+          {"domain": "bruges", "servers": 1, "slots": 2, "keys": 0, "inFlight": 0},
+          {"domain": "ghent", "servers": 3, "slots": 6, "keys": 536, "inFlight": 1}]}]})");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(showsEvacuationsAndWhatIsLeftThere)
+{
+    ScriptedServer first{{evacuationReport("antwerp-1", 1)}};
+    ScriptedServer second{{evacuationReport("ghent-1", 2)}};
+    const CommandResult result = runLine({"--daemon", toString(first.endpoint()), "--daemon",
+                                          toString(second.endpoint()), "evacuation", "show"});
+    BOOST_CHECK(result.code == ExitCode::Done);
+    BOOST_TEST(result.out
+               == "DOMAIN  FOR  KNOWN TO  KEYS LEFT  IN FLIGHT\n"
+                  "ghent   4 s  2 of 2    536        2\n");
+}
+
+BOOST_AUTO_TEST_CASE(checkTellsWhetherAnEvacuationLeavesEnoughServers)
+{
+    const auto check = [](const std::string &domain, int inFlight) {
+        ScriptedServer daemon{{evacuationReport("antwerp-1", inFlight)}};
+        return runLine({"--daemon", toString(daemon.endpoint()), "evacuation", "check", domain});
+    };
+    BOOST_CHECK(check("bruges", 3).code == ExitCode::Done);
+    const CommandResult tooMuch = check("bruges", 4);
+    BOOST_CHECK(tooMuch.code == ExitCode::Refused);
+    BOOST_TEST(tooMuch.out
+               == "SERVICE   SERVERS LEFT  SLOTS LEFT  IN FLIGHT NOW  VERDICT\n"
+                  "payments  2             4           5              above the capacity left\n");
+    // Only bruges would be left, as ghent is evacuated already.
+    BOOST_CHECK(check("antwerp", 1).code == ExitCode::Done);
+    BOOST_CHECK(check("antwerp", 2).code == ExitCode::Refused);
+    BOOST_CHECK(check("nowhere", 0).code == ExitCode::Refused);
+    BOOST_CHECK(runLine({"--daemon", "127.0.0.1:1", "evacuation", "show"}).code
+                == ExitCode::Unreachable);
+    BOOST_CHECK(runLine({"evacuation", "show"}).code == ExitCode::Unreachable);
+}
--- a/tests/entryfleet/test_entryevacuation.cpp
+++ b/tests/entryfleet/test_entryevacuation.cpp
@@ -89,6 +89,11 @@
     BOOST_TEST(runsAt(serversOfA, acknowledgedAt + evacuationBound) == 0);
     for (const std::string &host : hosts)
         BOOST_TEST(isEvacuated(host, "a"), host);
+    const std::string report = page("b1", "/evacuations");
+    BOOST_TEST(report.find(R"("evacuated":[{"age":)") != std::string::npos, report);
+    BOOST_TEST(report.find(R"("domain":"a","inFlight":0,"keys":0,"servers":2)")
+                   != std::string::npos,
+               report);
     // The keys have long moved, so that no more than the owners' part of the bound was used.
     BOOST_TEST(runsAt(serversOfA, acknowledgedAt + 3s) == 0);
     endEvacuation("a");
--- a/tests/entryfleet/test_entryoutage.cpp
+++ b/tests/entryfleet/test_entryoutage.cpp
@@ -60,3 +60,20 @@
     setStoreFault("*", "ok");
     BOOST_TEST(eventually([&] { return servesKeys("a1"); }));
 }
+
+BOOST_FIXTURE_TEST_CASE(statusTellsAStoreThatIsLostFromRowsThatComeThroughAnotherDaemon, ServingFleet)
+{
+    const auto shows = [this](const std::string &line) {
+        return page("a1", "/status").find(line) != std::string::npos;
+    };
+    BOOST_TEST(shows("store: reached"));
+    BOOST_TEST(shows("rows: followed"));
+    setStoreFault("a1", "busy");
+    BOOST_TEST(eventually([&] { return shows("store: lost") && shows("rows: followed"); }));
+    BOOST_TEST(counter("a1", "bulrush_store_reached") == 0);
+    BOOST_TEST(counter("a1", "bulrush_rows_followed") == 1);
+    setStoreFault("*", "busy");
+    BOOST_TEST(eventually([&] { return shows("store: lost") && shows("rows: lost"); }));
+    setStoreFault("*", "ok");
+    BOOST_TEST(eventually([&] { return allReachStore() && shows("rows: followed"); }));
+}
