Split the operators' pages from the entry daemon

No change in behaviour: EntryPages answers readiness, metrics, status, evacuations and quarantine; EntryDaemon keeps the life of the process.

--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -1,10 +1,8 @@
 #include "entrydaemon.h"
 
-#include "connection/httpstatus.h"
 #include "peerpaths.h"
 #include "process/hostclock.h"
 #include "process/logging.h"
-#include "version/evacuationreportcodec.h"
 #include "version/loadsamplecodec.h"
 
 #include <asio/post.hpp>
@@ -19,18 +17,6 @@
 
 namespace {
 
-constexpr int ok = 200;
-constexpr int badRequest = 400;
-constexpr int notFound = 404;
-constexpr int serviceUnavailable = 503;
-
-/** The page of evacuations and the servers that they concern, as JSON. */
-constexpr std::string_view evacuationsPath = "/evacuations";
-/** The page of requests during which servers crashed, for operators. */
-constexpr std::string_view quarantinePath = "/quarantine";
-/** Followed by the fingerprint of the request to admit again. */
-constexpr std::string_view liftPath = "/quarantine/lift/";
-
 /** Interval at which the control thread executes what is due. */
 constexpr Duration controlInterval = std::chrono::milliseconds{100};
 /** Store calls are logged as one summary a second, so that their number does not affect the log. */
@@ -84,6 +70,9 @@
                     m_worker.setQuarantine(std::move(quarantine));
                 })
     , m_peerService(m_keys, m_state, m_timers, m_followers, LinkBudget{m_settings.linkMegabits})
+    , m_pages({m_loop, m_settings, m_counters, m_storeCalls, m_peerService, m_worker, m_state,
+               m_keys, m_crashes},
+              [this] { return isReady(); })
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
 { }
 
@@ -161,7 +150,7 @@
     settings.port = address.port;
     return std::make_unique<io::CallerServer>(
         m_loop, settings,
-        [this](const auto &request, const auto &writer) { answer(*request, writer); });
+        [this](const auto &request, const auto &writer) { m_pages.answer(*request, writer); });
 }
 
 void EntryDaemon::printAddresses() const
@@ -267,79 +256,4 @@
     return m_state.isComplete() && !m_drainingSince;
 }
 
-io::HttpResponse EntryDaemon::lift(const io::IncomingRequest &request)
-{
-    const std::string_view target = request.head().target;
-    const auto fingerprint = RequestFingerprint::fromString(target.substr(liftPath.size()));
-    if (request.head().method != "POST" || !fingerprint)
-        return io::plainTextResponse(badRequest,
-                                     "use: POST /quarantine/lift/ and 16 hexadecimal digits\n");
-    if (!m_crashes.lift(*fingerprint))
-        return io::plainTextResponse(notFound, "no such request is suspect\n");
-    return io::plainTextResponse(ok, "lifted\n");
-}
-
-void EntryDaemon::answer(const io::IncomingRequest &request,
-                         const std::shared_ptr<io::ResponseWriter> &writer)
-{
-    const std::string &target = request.head().target;
-    if (target == "/readyz")
-        writer->send(io::plainTextResponse(isReady() ? ok : serviceUnavailable,
-                                           isReady() ? "ready\n" : "not ready\n"));
-    else if (target == "/metrics")
-        writer->send(io::plainTextResponse(ok, metricsText()));
-    else if (target == "/status")
-        writer->send(io::plainTextResponse(ok, statusText()));
-    else if (target == evacuationsPath)
-        answerEvacuations(writer);
-    else if (target == quarantinePath)
-        writer->send(io::plainTextResponse(ok, m_crashes.page()));
-    else if (target.starts_with(liftPath))
-        writer->send(lift(request));
-    else
-        writer->send(io::plainTextResponse(
-            notFound, "pages: /readyz, /metrics, /status, /evacuations, /quarantine\n"));
-}
-
-/** Answers with the evacuations and the use of the servers, for `bulrushctl evacuation`. */
-void EntryDaemon::answerEvacuations(const std::shared_ptr<io::ResponseWriter> &writer)
-{
-    m_worker.collectServiceUse([this, writer](std::vector<ServiceUse> services) {
-        asio::post(m_loop, [this, writer, services = std::move(services)]() mutable {
-            const EvacuationReport report{m_settings.host,
-                                          evacuatedDomains(m_state.directory(), io::hostNow()),
-                                          std::move(services)};
-            writer->send(
-                {ok, {{"Content-Type", "application/json"}}, io::encodeEvacuationReport(report)});
-        });
-    });
-}
-
-std::string EntryDaemon::metricsText() const
-{
-    return m_counters.text() + m_storeCalls.text() + m_peerService.servedText()
-        + "bulrush_log_lines_dropped_total " + std::to_string(io::droppedLogLineCount())
-        + "\nbulrush_open_requests " + std::to_string(m_worker.openCount()) + '\n'
-        + m_state.configMetrics(io::hostNow()) + "bulrush_planning "
-        + (m_keys.isPlanning() ? "1" : "0") + "\nbulrush_store_reached "
-        + (m_keys.isStoreReached() ? "1" : "0") + "\nbulrush_rows_followed "
-        + (m_keys.areRowsFollowed() ? "1" : "0") + '\n';
-}
-
-std::string EntryDaemon::statusText() const
-{
-    const auto &routes = m_state.routes();
-    std::string text = "host: " + m_settings.host.value() + '\n';
-    text += "domain: " + m_settings.domain.value() + '\n';
-    text += "config: " + std::to_string(routes ? routes->config().version : 0) + '\n';
-    for (const auto &[domain, evacuation] : m_state.directory().evacuations())
-        text += "evacuated: " + domain.value() + '\n';
-    text += "servers: " + std::to_string(m_state.directory().servers().size()) + '\n';
-    text += std::string{"planner: "} + (m_keys.isPlanning() ? "yes" : "no") + '\n';
-    text += std::string{"store: "} + (m_keys.isStoreReached() ? "reached" : "lost") + '\n';
-    text += std::string{"rows: "} + (m_keys.areRowsFollowed() ? "followed" : "lost") + '\n';
-    text += "open: " + std::to_string(m_worker.openCount()) + '\n';
-    return text;
-}
-
 } // namespace bulrush
--- a/src/libbulrushentry/entrydaemon.h
+++ b/src/libbulrushentry/entrydaemon.h
@@ -4,6 +4,7 @@
 #include "connection/serverclient.h"
 #include "crashcontrol.h"
 #include "entrycounters.h"
+#include "entrypages.h"
 #include "forwardworker.h"
 #include "keycontrol.h"
 #include "peerservice.h"
@@ -61,12 +62,6 @@
     void reportLoads(std::vector<LoadSample> samples);
     bool isReady() const;
     void connectCrashControl();
-    void answer(const io::IncomingRequest &request,
-                const std::shared_ptr<io::ResponseWriter> &writer);
-    void answerEvacuations(const std::shared_ptr<io::ResponseWriter> &writer);
-    io::HttpResponse lift(const io::IncomingRequest &request);
-    std::string metricsText() const;
-    std::string statusText() const;
 
     EntrySettings m_settings;
     EntryCounters m_counters;
@@ -86,6 +81,7 @@
     std::unique_ptr<io::CallerServer> m_operators;
     std::unique_ptr<io::CallerServer> m_metrics;
     PeerService m_peerService;
+    EntryPages m_pages;
     asio::signal_set m_signals;
     std::optional<Instant> m_drainingSince;
     bool m_isRefusing = false;
--- /dev/null
+++ b/src/libbulrushentry/entrypages.cpp
@@ -0,0 +1,113 @@
+#include "entrypages.h"
+
+#include "connection/httpstatus.h"
+#include "process/evacuationreport.h"
+#include "process/hostclock.h"
+#include "process/logging.h"
+#include "version/evacuationreportcodec.h"
+
+#include <asio/post.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace bulrush {
+
+namespace {
+
+constexpr int ok = 200;
+constexpr int badRequest = 400;
+constexpr int notFound = 404;
+constexpr int serviceUnavailable = 503;
+
+/** The page of evacuations and the servers that they concern, as JSON. */
+constexpr std::string_view evacuationsPath = "/evacuations";
+/** The page of requests during which servers crashed, for operators. */
+constexpr std::string_view quarantinePath = "/quarantine";
+/** Followed by the fingerprint of the request to admit again. */
+constexpr std::string_view liftPath = "/quarantine/lift/";
+
+} // namespace
+
+EntryPages::EntryPages(const Sources &sources, std::function<bool()> isReady)
+    : m_sources(sources)
+    , m_isReady(std::move(isReady))
+{ }
+
+io::HttpResponse EntryPages::lift(const io::IncomingRequest &request)
+{
+    const std::string_view target = request.head().target;
+    const auto fingerprint = RequestFingerprint::fromString(target.substr(liftPath.size()));
+    if (request.head().method != "POST" || !fingerprint)
+        return io::plainTextResponse(badRequest,
+                                     "use: POST /quarantine/lift/ and 16 hexadecimal digits\n");
+    if (!m_sources.crashes.lift(*fingerprint))
+        return io::plainTextResponse(notFound, "no such request is suspect\n");
+    return io::plainTextResponse(ok, "lifted\n");
+}
+
+void EntryPages::answer(const io::IncomingRequest &request,
+                        const std::shared_ptr<io::ResponseWriter> &writer)
+{
+    const std::string &target = request.head().target;
+    if (target == "/readyz")
+        writer->send(io::plainTextResponse(m_isReady() ? ok : serviceUnavailable,
+                                           m_isReady() ? "ready\n" : "not ready\n"));
+    else if (target == "/metrics")
+        writer->send(io::plainTextResponse(ok, metricsText()));
+    else if (target == "/status")
+        writer->send(io::plainTextResponse(ok, statusText()));
+    else if (target == evacuationsPath)
+        answerEvacuations(writer);
+    else if (target == quarantinePath)
+        writer->send(io::plainTextResponse(ok, m_sources.crashes.page()));
+    else if (target.starts_with(liftPath))
+        writer->send(lift(request));
+    else
+        writer->send(io::plainTextResponse(
+            notFound, "pages: /readyz, /metrics, /status, /evacuations, /quarantine\n"));
+}
+
+/** Answers with the evacuations and the use of the servers, for `bulrushctl evacuation`. */
+void EntryPages::answerEvacuations(const std::shared_ptr<io::ResponseWriter> &writer)
+{
+    m_sources.worker.collectServiceUse([this, writer](std::vector<ServiceUse> services) {
+        asio::post(m_sources.loop, [this, writer, services = std::move(services)]() mutable {
+            const EvacuationReport report{
+                m_sources.settings.host,
+                evacuatedDomains(m_sources.state.directory(), io::hostNow()), std::move(services)};
+            writer->send(
+                {ok, {{"Content-Type", "application/json"}}, io::encodeEvacuationReport(report)});
+        });
+    });
+}
+
+std::string EntryPages::metricsText() const
+{
+    return m_sources.counters.text() + m_sources.storeCalls.text()
+        + m_sources.peerService.servedText() + "bulrush_log_lines_dropped_total "
+        + std::to_string(io::droppedLogLineCount()) + "\nbulrush_open_requests "
+        + std::to_string(m_sources.worker.openCount()) + '\n'
+        + m_sources.state.configMetrics(io::hostNow()) + "bulrush_planning "
+        + (m_sources.keys.isPlanning() ? "1" : "0") + "\nbulrush_store_reached "
+        + (m_sources.keys.isStoreReached() ? "1" : "0") + "\nbulrush_rows_followed "
+        + (m_sources.keys.areRowsFollowed() ? "1" : "0") + '\n';
+}
+
+std::string EntryPages::statusText() const
+{
+    const auto &routes = m_sources.state.routes();
+    std::string text = "host: " + m_sources.settings.host.value() + '\n';
+    text += "domain: " + m_sources.settings.domain.value() + '\n';
+    text += "config: " + std::to_string(routes ? routes->config().version : 0) + '\n';
+    for (const auto &[domain, evacuation] : m_sources.state.directory().evacuations())
+        text += "evacuated: " + domain.value() + '\n';
+    text += "servers: " + std::to_string(m_sources.state.directory().servers().size()) + '\n';
+    text += std::string{"planner: "} + (m_sources.keys.isPlanning() ? "yes" : "no") + '\n';
+    text += std::string{"store: "} + (m_sources.keys.isStoreReached() ? "reached" : "lost") + '\n';
+    text += std::string{"rows: "} + (m_sources.keys.areRowsFollowed() ? "followed" : "lost") + '\n';
+    text += "open: " + std::to_string(m_sources.worker.openCount()) + '\n';
+    return text;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/src/libbulrushentry/entrypages.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "connection/incomingrequest.h"
+#include "connection/responsewriter.h"
+#include "crashcontrol.h"
+#include "entrycounters.h"
+#include "forwardworker.h"
+#include "keycontrol.h"
+#include "peerservice.h"
+#include "process/entrysettings.h"
+#include "statepublisher.h"
+#include "storecalls.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace bulrush {
+
+/**
+ * The pages of an entry daemon for operators and the load balancer: readiness, metrics, status,
+ * evacuations and quarantine.
+ *
+ * Used on the control thread.
+ */
+class EntryPages
+{
+public:
+    /** The parts of the daemon that the pages show. */
+    struct Sources
+    {
+        /** The control thread's. */
+        asio::io_context &loop;
+        const EntrySettings &settings;
+        const EntryCounters &counters;
+        const StoreCalls &storeCalls;
+        const PeerService &peerService;
+        ForwardWorker &worker;
+        const StatePublisher &state;
+        const KeyControl &keys;
+        CrashControl &crashes;
+    };
+
+    /** \a isReady tells whether callers may be sent here. \pre the sources outlive this object */
+    EntryPages(const Sources &sources, std::function<bool()> isReady);
+
+    EntryPages(const EntryPages &) = delete;
+    EntryPages &operator=(const EntryPages &) = delete;
+
+    /** Answers \a request, now or once the traffic thread has told what is needed. */
+    void answer(const io::IncomingRequest &request,
+                const std::shared_ptr<io::ResponseWriter> &writer);
+
+private:
+    void answerEvacuations(const std::shared_ptr<io::ResponseWriter> &writer);
+    io::HttpResponse lift(const io::IncomingRequest &request);
+    std::string metricsText() const;
+    std::string statusText() const;
+
+    Sources m_sources;
+    std::function<bool()> m_isReady;
+};
+
+} // namespace bulrush
