--- a/src/libbulrush/process/crashwatch.h
+++ b/src/libbulrush/process/crashwatch.h
@@ -44,9 +44,9 @@
 
     /**
      * Records an answer with \a status to a request. An answer that a server gives because the
-     * deadline has passed leaves the work running, so that the request stays stored like one without
-     * an answer. \returns whether the answer shows that the request does not crash servers, which
-     * only completed work does.
+     * deadline has passed leaves the work running, so that the request stays stored like one
+     * without an answer. \returns whether the answer shows that the request does not crash servers,
+     * which only completed work does.
      */
     bool answered(const CrashReport &report, int status, Instant now);
 
--- a/tests/entryfleet/test_entryoutage.cpp
+++ b/tests/entryfleet/test_entryoutage.cpp
@@ -61,7 +61,8 @@
     BOOST_TEST(eventually([&] { return servesKeys("a1"); }));
 }
 
-BOOST_FIXTURE_TEST_CASE(statusTellsAStoreThatIsLostFromRowsThatComeThroughAnotherDaemon, ServingFleet)
+BOOST_FIXTURE_TEST_CASE(statusTellsAStoreThatIsLostFromRowsThatComeThroughAnotherDaemon,
+                        ServingFleet)
 {
     const auto shows = [this](const std::string &line) {
         return page("a1", "/status").find(line) != std::string::npos;
--- a/tests/platformadapter/test_storeclient.cpp
+++ b/tests/platformadapter/test_storeclient.cpp
@@ -127,8 +127,8 @@
         std::size_t answered = 0;
         const std::string body =
             R"({"rows":[)" + rows + R"(],"truncated":true,"rowVersion":4,"nowS":1.0})";
-        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: "
-            + std::to_string(body.size()) + "\r\n\r\n" + body;
+        const std::string answer =
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         ScriptedServer server{loop,
                               [&](ScriptedServer::Socket &socket, int) -> asio::awaitable<void> {
                                   std::string buffer;
@@ -140,8 +140,9 @@
                               }};
         const std::string url = server.url("");
         io::ServerClient client{loop};
-        StoreClient store{client, *io::endpoint(io::PortZero::Refused)
-                                       .parse(url.substr(std::string{"http://"}.size()))};
+        StoreClient store{
+            client,
+            *io::endpoint(io::PortZero::Refused).parse(url.substr(std::string{"http://"}.size()))};
         std::optional<RowsOutcome> outcome;
         store.read("t", [&](RowsOutcome received) { outcome = std::move(received); });
         while (!outcome && loop.run_one() > 0) { }
