Apply changes of servers' records in the order of the store's answer

Cause: removals were applied as they were read, records after all of them. If one answer has a change of a record and then its removal, the server was ready again at the daemon that read it, until it read the whole table anew. Followers get the last state of each row only, and were right.

--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -213,6 +213,7 @@
 {
     const Instant now = io::hostNow();
     std::vector<ServerRecord> records;
+    // In order, as one answer of the store may have several changes of a row, the removal last.
     for (const platform::StoreRow &row : change.rows) {
         if (row.isRemoved) {
             m_directory.remove(ServerName{row.key}, now);
@@ -228,14 +229,13 @@
             continue;
         }
         logServerChange(*record, row.version, change);
-        records.push_back(std::move(*record));
+        if (change.isComplete)
+            records.push_back(std::move(*record));
+        else
+            m_directory.applyRecord(*record, now, change.unchangedUntil);
     }
-    if (change.isComplete) {
+    if (change.isComplete)
         m_directory.applyAll(records, change.isAfterOutage, now, change.unchangedUntil);
-    } else {
-        for (const ServerRecord &record : records)
-            m_directory.applyRecord(record, now, change.unchangedUntil);
-    }
     m_hasServers = true;
     publish();
     if (m_serversHandler)
--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -72,6 +72,23 @@
     return text.data();
 }
 
+Json::Value recordJson(const ServerSpec &server, const std::string &address,
+                       const std::string &state)
+{
+    Json::Value value;
+    value["service"] = server.service;
+    value["address"] = address;
+    value["zone"] = server.domain;
+    value["version"] = "v1";
+    value["slots"] = server.slots;
+    value["state"] = state;
+    value["coldRemainingS"] = server.coldMs / 1000.0;
+    value["seq"] = 1;
+    if (server.startedAtMs > 0)
+        value["born"] = Json::Int64{server.startedAtMs};
+    return value;
+}
+
 } // namespace
 
 EntryFleet::EntryFleet(std::vector<std::string> hosts)
@@ -185,21 +202,10 @@
 void EntryFleet::writeRecordOf(const ServerSpec &server, const std::string &address,
                                const std::string &state)
 {
-    Json::Value value;
-    value["service"] = server.service;
-    value["address"] = address;
-    value["zone"] = server.domain;
-    value["version"] = "v1";
-    value["slots"] = server.slots;
-    value["state"] = state;
-    value["coldRemainingS"] = server.coldMs / 1000.0;
-    value["seq"] = 1;
-    if (server.startedAtMs > 0)
-        value["born"] = Json::Int64{server.startedAtMs};
     Json::Value row;
     row["table"] = "servers";
     row["key"] = server.id;
-    row["value"] = value;
+    row["value"] = recordJson(server, address, state);
     Json::Value json;
     json["put"].append(row);
     control(json);
@@ -210,6 +216,18 @@
     removeRow("servers", id);
 }
 
+void EntryFleet::rewriteAndRemoveRecord(const std::string &id)
+{
+    Json::Value row;
+    row["table"] = "servers";
+    row["key"] = id;
+    Json::Value json;
+    json["remove"].append(row);
+    row["value"] = recordJson(m_serverSpecs.at(id), server(id).address(), "ready");
+    json["put"].append(row);
+    control(json);
+}
+
 void EntryFleet::removeDaemonRow(const std::string &host)
 {
     removeRow("ownership", "daemon/" + host);
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -86,6 +86,8 @@
     void writeRecordOf(const ServerSpec &server, const std::string &address,
                        const std::string &state = "ready");
     void removeRecord(const std::string &id);
+    /** Rewrites the record of \a id and removes it, so that one answer has both changes. */
+    void rewriteAndRemoveRecord(const std::string &id);
     /** Removes the row of \a host's daemon, as a planner does when it considers the daemon lost. */
     void removeDaemonRow(const std::string &host);
     /** Writes the operators' row that evacuates the failure domain \a domain, or removes it. */
--- a/tests/entryfleet/test_entryservers.cpp
+++ b/tests/entryfleet/test_entryservers.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <thread>
@@ -56,3 +57,19 @@
     BOOST_TEST(countFailedReadsFor(500ms, "a2") == 0);
     BOOST_TEST(firstOverlap() == "");
 }
+
+BOOST_FIXTURE_TEST_CASE(serverWhoseRecordChangesAndIsRemovedAtOnceGetsNothing, ServingFleet)
+{
+    rewriteAndRemoveRecord("p1");
+    std::this_thread::sleep_for(1500ms);
+    const auto countAtRemoved = [this] {
+        const std::vector<RequestRun> all = runs();
+        return std::ranges::count(all, std::string{"p1"}, &RequestRun::server);
+    };
+    const auto before = countAtRemoved();
+    for (int i = 0; i < 60; ++i) {
+        for (const std::string host : {"a1", "a2", "b1"})
+            BOOST_TEST(send(host, "POST", "/pay/x", std::nullopt, "x").status == 200);
+    }
+    BOOST_TEST(countAtRemoved() == before);
+}
