Name what is known of operators' rows, places of daemons and budgets apart

ServerDataFreshness dated the operators' rows, too: it is DataFreshness now, once for servers' records and once for operators' rows. DaemonPlace was a host and its domain beside ReaderPlace, a place in an order: DaemonLocation. The picker's budget is one of two: drainBudget. A request to a cold server is recorded where it is sent, not where the age of the choice is. Comments that a newcomer had to read twice are reworded.

Unit tests of the parts concerned and test_entryservers pass.

--- a/src/libbulrush/process/daemonplace.h
+++ b/src/libbulrush/process/daemonlocation.h
@@ -5,12 +5,12 @@
 namespace bulrush {
 
 /** An entry daemon by its host and failure domain. */
-struct DaemonPlace
+struct DaemonLocation
 {
     HostName host;
     DomainName domain;
 
-    bool operator==(const DaemonPlace &) const = default;
+    bool operator==(const DaemonLocation &) const = default;
 };
 
 } // namespace bulrush
--- a/src/libbulrush/process/evacuationbudget.h
+++ b/src/libbulrush/process/evacuationbudget.h
@@ -15,6 +15,7 @@
 class EvacuationBudget
 {
 public:
+    /** The bound if the settings name none. */
     static constexpr Duration defaultBound = std::chrono::seconds{5};
 
     /** \pre \a bound is positive */
--- a/src/libbulrush/process/evacuationreport.h
+++ b/src/libbulrush/process/evacuationreport.h
@@ -12,16 +12,16 @@
 
 namespace bulrush {
 
-/** The ready backend servers of a service in one failure domain, and their use. */
+/** The backend servers of a service in one failure domain, and their use. */
 struct DomainUse
 {
     DomainName domain;
     /** Servers that neither drain nor are gone, whether or not the domain is evacuated. */
     std::uint64_t servers = 0;
     std::uint64_t slots = 0;
-    /** Keys that these or leaving servers of the domain own by the assignment in force. */
+    /** Keys owned in the domain, also by servers that drain; moving ones count where they were. */
     std::uint64_t keys = 0;
-    /** Requests of one daemon that are at these servers. */
+    /** Requests of one daemon that are in the domain, also at servers that drain. */
     std::uint64_t inFlight = 0;
 
     bool operator==(const DomainUse &) const = default;
--- a/src/libbulrush/process/keycoordinator.h
+++ b/src/libbulrush/process/keycoordinator.h
@@ -74,15 +74,15 @@
      * for less than 2.9 s.
      */
     static constexpr Duration connectTimeout = std::chrono::milliseconds{400};
-    /** Capacity of a cold server as a fraction of its capacity when warm. */
+    /** Capacity of a cold server without a cold rate, as a fraction of its capacity when warm. */
     static constexpr double coldCapacityFactor = 0.6;
     /**
-     * A server that bears few requests when cold gets keys this long after it has become warm, so
-     * that all daemons know by then. Its keys move to other servers when it becomes cold again.
+     * A server with a cold rate gets keys this long after it has become warm, so that all daemons
+     * know by then. Its keys move to other servers when it becomes cold again.
      */
     static constexpr Duration warmNoticePeriod = std::chrono::milliseconds{300};
     /**
-     * Such servers do get keys if more than this fraction of the ready servers are cold, as the
+     * Cold servers do get keys if more than this fraction of the ready servers are cold, as the
      * others could not serve all keys.
      */
     static constexpr double maxExcludedColdFraction = 0.75;
--- a/src/libbulrush/process/routingdatafreshness.h
+++ b/src/libbulrush/process/routingdatafreshness.h
@@ -1,17 +1,16 @@
 #pragma once
 
-#include "process/serverdatafreshness.h"
+#include "process/datafreshness.h"
 
 namespace bulrush {
 
 /** How current the data is by which requests are routed. */
 struct RoutingDataFreshness
 {
-    ServerDataFreshness servers;
-    /** At this instant the store had no configuration later than the one received here. */
-    Instant configAsOf;
-    /** The store can't confirm configurations and evacuations to this daemon at present. */
-    bool isConfigUnconfirmable = true;
+    /** Of the backend servers' records. */
+    DataFreshness servers;
+    /** Of the operators' rows: the configuration and the evacuations. */
+    DataFreshness operatorRows;
 
     bool operator==(const RoutingDataFreshness &) const = default;
 };
--- a/src/libbulrush/process/slowstart.cpp
+++ b/src/libbulrush/process/slowstart.cpp
@@ -3,23 +3,21 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 
 namespace bulrush {
 
 namespace {
 
-/** Longer than any pause between two requests to one server. */
-constexpr Duration retention = std::chrono::minutes{1};
-/** Lower bound of the cold rate, in requests per second, so that pauses stay below the retention.
- */
+/** Time for which the last request to a server is stored. */
+constexpr Duration sendRetention = std::chrono::minutes{1};
+/** Lower bound of the cold rate, in requests per second. Its pause is within sendRetention. */
 constexpr double minColdRate = 0.1;
 
 /** Position of a daemon in the order for a server; lower comes first. */
 using OrderKey = std::tuple<bool, std::uint64_t, HostName>;
 
-OrderKey orderKey(const ServerRecord &server, const DaemonPlace &daemon)
+OrderKey orderKey(const ServerRecord &server, const DaemonLocation &daemon)
 {
     const std::string &name = server.id.value();
     const std::string &host = daemon.host.value();
@@ -39,14 +37,14 @@
 } // namespace
 
 std::optional<std::size_t> SlowStart::rankOf(const ServerRecord &server, const HostName &self,
-                                             std::span<const DaemonPlace> daemons)
+                                             std::span<const DaemonLocation> daemons)
 {
-    const auto own = std::ranges::find(daemons, self, &DaemonPlace::host);
+    const auto own = std::ranges::find(daemons, self, &DaemonLocation::host);
     if (own == daemons.end())
         return std::nullopt;
     const OrderKey ownKey = orderKey(server, *own);
     return static_cast<std::size_t>(std::ranges::count_if(
-        daemons, [&](const DaemonPlace &daemon) { return orderKey(server, daemon) < ownKey; }));
+        daemons, [&](const DaemonLocation &daemon) { return orderKey(server, daemon) < ownKey; }));
 }
 
 bool SlowStart::isActive(const KnownServer &server, Instant now)
@@ -86,7 +84,8 @@
 
 void SlowStart::removeExpired(Instant now)
 {
-    std::erase_if(m_sentAt, [now](const auto &entry) { return now - entry.second > retention; });
+    std::erase_if(m_sentAt,
+                  [now](const auto &entry) { return now - entry.second > sendRetention; });
 }
 
 } // namespace bulrush
--- a/src/libbulrush/process/slowstart.h
+++ b/src/libbulrush/process/slowstart.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "process/clock.h"
-#include "process/daemonplace.h"
+#include "process/daemonlocation.h"
 #include "process/serverdirectory.h"
 
 #include <cstddef>
@@ -23,8 +23,8 @@
  * daemons together send more than its cold rate, so only a few daemons send to it, each with an
  * equal part of that rate and no burst. These are the first daemons in an order that depends on the
  * server (rendezvous hashing), in which daemons of the server's own failure domain come first.
- * Daemons that disagree about which daemons exist agree on most of the order; even two groups that
- * agree on none send twice the cold rate at most.
+ * Daemons that disagree about which daemons exist agree on most of the order. Two groups that agree
+ * on none of it send about twice the cold rate together.
  *
  * Once a server is warm, the other daemons follow in the same order over rampDuration, because a
  * server without load attracts the requests of all of them.
@@ -44,10 +44,9 @@
      * if \a daemons does not contain it.
      */
     static std::optional<std::size_t> rankOf(const ServerRecord &server, const HostName &self,
-                                             std::span<const DaemonPlace> daemons);
+                                             std::span<const DaemonLocation> daemons);
 
-    /** \returns whether ranks are needed for \a server, because it is cold or became warm lately.
-     */
+    /** \returns whether \a server is cold, or became warm within the last rampDuration. */
     static bool isActive(const KnownServer &server, Instant now);
 
     /**
--- a/src/libbulrush/request/serverpicker.cpp
+++ b/src/libbulrush/request/serverpicker.cpp
@@ -26,14 +26,16 @@
     return std::ranges::find(demand.tried, server) != demand.tried.end();
 }
 
-/** \returns whether \a servers would be ready but for the evacuation of all their domains. */
-bool isEvacuated(std::span<const KnownServer> servers)
+/**
+ * \returns why none of \a servers can receive a request: Evacuated if none is ready and at least
+ * one is in an evacuated domain.
+ */
+NoServer reasonForAbsence(std::span<const KnownServer> servers)
 {
-    const auto isInEvacuatedDomain = [](const KnownServer &server) {
-        return server.evacuatedAfter.has_value();
-    };
-    return std::ranges::any_of(servers, isInEvacuatedDomain)
-        && std::ranges::none_of(servers, &KnownServer::isReady);
+    const bool hasReady = std::ranges::any_of(servers, &KnownServer::isReady);
+    const bool hasEvacuated = std::ranges::any_of(
+        servers, [](const KnownServer &server) { return server.evacuatedAfter.has_value(); });
+    return hasEvacuated && !hasReady ? NoServer::Evacuated : NoServer::Absent;
 }
 
 } // namespace
@@ -43,22 +45,22 @@
     : m_gauges(gauges)
     , m_slowStart(slowStart)
     , m_ownDomain(std::move(ownDomain))
-    , m_budget(budgets.drain)
+    , m_drainBudget(budgets.drain)
     , m_evacuationBudget(budgets.evacuation)
 { }
 
 Duration ServerPicker::serverDataAge(Instant now) const
 {
-    return m_dataFreshness.isStoreUnreachable ? Duration::zero() : now - m_dataFreshness.asOf;
+    return m_serverFreshness.isStoreUnreachable ? Duration::zero() : now - m_serverFreshness.asOf;
 }
 
 Instant ServerPicker::maxSendAge(const KnownServer &server) const
 {
     Instant latest = Instant::max();
     if (server.drainsAfter)
-        latest = *server.drainsAfter + m_budget.maxSendAge();
-    else if (!m_dataFreshness.isStoreUnreachable)
-        latest = m_dataFreshness.asOf + m_budget.maxSendAge();
+        latest = *server.drainsAfter + m_drainBudget.maxSendAge();
+    else if (!m_serverFreshness.isStoreUnreachable)
+        latest = m_serverFreshness.asOf + m_drainBudget.maxSendAge();
     if (server.evacuatedAfter)
         return std::min(latest, *server.evacuatedAfter + m_evacuationBudget.maxSendAge());
     if (!m_evacuationFreshness.isStoreUnreachable)
@@ -66,10 +68,13 @@
     return latest;
 }
 
-/** \returns whether any server may have to be left alone by newer data, which is pending. */
-bool ServerPicker::isDataTooOld(Instant now) const
+/**
+ * \returns whether the data is so old that any server may drain or be evacuated by now. Newer data
+ * is pending.
+ */
+bool ServerPicker::mayAnyServerBeLeaving(Instant now) const
 {
-    return serverDataAge(now) > m_budget.maxUnconfirmedAge()
+    return serverDataAge(now) > m_drainBudget.maxUnconfirmedAge()
         || (!m_evacuationFreshness.isStoreUnreachable
             && now - m_evacuationFreshness.asOf > m_evacuationBudget.maxUnconfirmedAge());
 }
@@ -86,7 +91,7 @@
 ServerPick ServerPicker::pick(const RoutingState &state, const ServerDemand &demand,
                               Instant now) const
 {
-    if (isDataTooOld(now))
+    if (mayAnyServerBeLeaving(now))
         return NoServer::Busy;
     return demand.key ? pickOwner(state, demand, now) : pickFastest(state, demand, now);
 }
@@ -125,7 +130,7 @@
     const KnownServer *server = state.server(demand.service, owned->owner);
     if (!server || server->removedSince)
         return nullptr;
-    if (server->drainsAfter && now - *server->drainsAfter > m_budget.maxDrainingAge())
+    if (server->drainsAfter && now - *server->drainsAfter > m_drainBudget.maxDrainingAge())
         return nullptr;
     if (server->evacuatedAfter && now - *server->evacuatedAfter > m_evacuationBudget.maxOwnerAge())
         return nullptr;
@@ -137,8 +142,7 @@
 {
     const KnownServer *server = ownerOf(state, demand, now);
     if (!server)
-        return isEvacuated(state.serversOf(demand.service)) ? NoServer::Evacuated
-                                                            : NoServer::Absent;
+        return reasonForAbsence(state.serversOf(demand.service));
     // After a cold start the planner limits the load of an owner by the keys that it gets.
     if (server->isCold(now)) {
         const SlowStartAdmission admitted = admission(state, *server, now);
@@ -192,8 +196,7 @@
     if (!hasReady && hasSlowStart)
         return NoServer::Cold;
     if (!hasReady)
-        return isEvacuated(state.serversOf(demand.service)) ? NoServer::Evacuated
-                                                            : NoServer::Absent;
+        return reasonForAbsence(state.serversOf(demand.service));
     return hasUntried ? NoServer::Busy : NoServer::AllTried;
 }
 
--- a/src/libbulrush/request/serverpicker.h
+++ b/src/libbulrush/request/serverpicker.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "process/datafreshness.h"
 #include "process/drainbudget.h"
 #include "process/evacuationbudget.h"
 #include "process/routingstate.h"
-#include "process/serverdatafreshness.h"
 #include "process/servergauges.h"
 #include "process/slowstart.h"
 #include "version/routingconfig.h"
@@ -37,7 +37,7 @@
     Unreachable, ///< the owner of the key, or its host, repeatedly could not be reached just now
     AllTried,    ///< all eligible servers were tried, so that waiting does not help
     Cold,        ///< the eligible servers are cold, and only other daemons send to them for now
-    Evacuated,   ///< all servers of the service are in evacuated failure domains
+    Evacuated,   ///< no server of the service is ready, for evacuations among other reasons
 };
 
 /** The chosen server, valid during the lifetime of the routing state, or the reason for none. */
@@ -89,17 +89,17 @@
     ServerPicker(const ServerGauges &gauges, const SlowStart &slowStart, DomainName ownDomain,
                  const LeavingServerBudgets &budgets = {});
 
-    /** Sets how current the routing state is. */
-    void setDataFreshness(const ServerDataFreshness &knowledge);
+    /** Sets how current the data about the servers is. */
+    void setServerFreshness(const DataFreshness &freshness);
 
     /** Sets how current the data about evacuations is. */
-    void setEvacuationFreshness(const ServerDataFreshness &freshness);
+    void setEvacuationFreshness(const DataFreshness &freshness);
 
     /** \returns the time since the store last confirmed the data, or zero if it is unreachable. */
     Duration serverDataAge(Instant now) const;
 
     /** \returns how the drain bound is divided. */
-    const DrainBudget &budget() const;
+    const DrainBudget &drainBudget() const;
 
     ServerPick pick(const RoutingState &state, const ServerDemand &demand, Instant now) const;
 
@@ -118,31 +118,31 @@
                            Instant now) const;
     SlowStartAdmission admission(const RoutingState &state, const KnownServer &server,
                                  Instant now) const;
-    bool isDataTooOld(Instant now) const;
+    bool mayAnyServerBeLeaving(Instant now) const;
     Duration costOf(const ServerRecord &server, const ServerDemand &demand, Instant now) const;
 
     const ServerGauges &m_gauges;
     const SlowStart &m_slowStart;
     DomainName m_ownDomain;
-    DrainBudget m_budget;
+    DrainBudget m_drainBudget;
     EvacuationBudget m_evacuationBudget;
-    ServerDataFreshness m_dataFreshness;
-    ServerDataFreshness m_evacuationFreshness;
+    DataFreshness m_serverFreshness;
+    DataFreshness m_evacuationFreshness;
 };
 
-inline void ServerPicker::setDataFreshness(const ServerDataFreshness &knowledge)
+inline void ServerPicker::setServerFreshness(const DataFreshness &freshness)
 {
-    m_dataFreshness = knowledge;
+    m_serverFreshness = freshness;
 }
 
-inline void ServerPicker::setEvacuationFreshness(const ServerDataFreshness &freshness)
+inline void ServerPicker::setEvacuationFreshness(const DataFreshness &freshness)
 {
     m_evacuationFreshness = freshness;
 }
 
-inline const DrainBudget &ServerPicker::budget() const
+inline const DrainBudget &ServerPicker::drainBudget() const
 {
-    return m_budget;
+    return m_drainBudget;
 }
 
 } // namespace bulrush
--- a/src/libbulrush/version/routingconfig.h
+++ b/src/libbulrush/version/routingconfig.h
@@ -59,7 +59,7 @@
 /** How servers of a service behave for some time after their start. */
 struct ColdStart
 {
-    /** How long a server is cold. */
+    /** How long a server is cold; 0 if the configuration does not say. */
     Duration duration{};
     /** Requests per second, from all daemons together, that a cold server bears. */
     double rate = 0.0;
--- a/src/libbulrushentry/entrypages.cpp
+++ b/src/libbulrushentry/entrypages.cpp
@@ -8,6 +8,7 @@
 
 #include <asio/post.hpp>
 
+#include <string_view>
 #include <utility>
 #include <vector>
 
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -137,9 +137,9 @@
 
 void ForwardContext::setFreshness(const RoutingDataFreshness &freshness)
 {
-    m_configConfirmedAt = freshness.configAsOf;
-    picker.setDataFreshness(freshness.servers);
-    picker.setEvacuationFreshness({freshness.configAsOf, freshness.isConfigUnconfirmable});
+    m_configConfirmedAt = freshness.operatorRows.asOf;
+    picker.setServerFreshness(freshness.servers);
+    picker.setEvacuationFreshness(freshness.operatorRows);
     if (queue.size() > 0)
         scheduleDispatch();
 }
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -243,6 +243,8 @@
     if (m_attempts > 1)
         m_context.counters.add(EntryCounter::AttemptsRepeated);
     m_context.gauges.attemptStarted(server.id, m_sentAt);
+    if (const KnownServer *known = m_context.state->server(m_service, m_server))
+        m_context.slowStart.recordSend(*known, m_sentAt);
 
     io::ServerCall call;
     call.server = server.address;
@@ -269,12 +271,11 @@
 {
     m_routingDataAge = m_context.picker.serverDataAge(m_sentAt);
     m_context.counters.recordRoutingDataAge(m_routingDataAge);
-    m_isChoiceLogged = m_routingDataAge >= m_context.picker.budget().confirmAfter();
+    m_isChoiceLogged = m_routingDataAge >= m_context.picker.drainBudget().confirmAfter();
     m_drainsAfter.reset();
     const KnownServer *server = m_context.state->server(m_service, m_server);
     if (!server)
         return Instant::max();
-    m_context.slowStart.recordSend(*server, m_sentAt);
     m_drainsAfter = server->drainsAfter;
     m_isChoiceLogged = m_isChoiceLogged || m_drainsAfter;
     return m_context.picker.maxSendAge(*server);
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -224,14 +224,14 @@
         applyMissingRows(change, hasPlanner, now);
     m_coordinator.markRowsApplied(change.version);
     std::vector<Renewer> daemons;
-    std::vector<DaemonPlace> places;
+    std::vector<DaemonLocation> locations;
     for (const auto &[host, renewer] : m_coordinator.renewers().renewers()) {
         daemons.push_back(renewer);
         if (!renewer.removedSince)
-            places.push_back({host, renewer.row.domain});
+            locations.push_back({host, renewer.row.domain});
     }
     m_deps.follow.plan.setDaemons(daemons);
-    m_deps.state.setDaemons(std::move(places));
+    m_deps.state.setDaemons(std::move(locations));
     if (m_changeHandler)
         m_changeHandler(change);
     advance(now);
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -87,7 +87,7 @@
     publish();
 }
 
-void StatePublisher::setDaemons(std::vector<DaemonPlace> daemons)
+void StatePublisher::setDaemons(std::vector<DaemonLocation> daemons)
 {
     if (m_daemons == daemons)
         return;
@@ -265,20 +265,20 @@
 void StatePublisher::reportFreshness()
 {
     const RoutingDataFreshness freshness{{m_servers.confirmedAt(), m_servers.isStoreUnreachable()},
-                                         m_configs.confirmedAt(),
-                                         m_configs.isStoreUnreachable()};
+                                         {m_configs.confirmedAt(), m_configs.isStoreUnreachable()}};
     if (freshness == m_reportedFreshness)
         return;
-    const ServerDataFreshness &servers = freshness.servers;
+    const DataFreshness &servers = freshness.servers;
     if (servers.isStoreUnreachable != m_reportedFreshness.servers.isStoreUnreachable)
         io::logEvent(LogLevel::Info, "servers-confirmable",
                      {{"by", servers.isStoreUnreachable ? "nobody" : m_servers.source()},
                       {"age-ms", io::millisecondsText(io::hostNow() - servers.asOf)}});
-    if (freshness.isConfigUnconfirmable != m_reportedFreshness.isConfigUnconfirmable)
+    const DataFreshness &operatorRows = freshness.operatorRows;
+    if (operatorRows.isStoreUnreachable != m_reportedFreshness.operatorRows.isStoreUnreachable)
         io::logEvent(LogLevel::Info, "evacuations-confirmable",
-                     {{"by", freshness.isConfigUnconfirmable ? "nobody" : m_configs.source()},
+                     {{"by", operatorRows.isStoreUnreachable ? "nobody" : m_configs.source()},
                       {"evacuated", std::to_string(m_directory.evacuations().size())},
-                      {"age-ms", io::millisecondsText(io::hostNow() - freshness.configAsOf)}});
+                      {"age-ms", io::millisecondsText(io::hostNow() - operatorRows.asOf)}});
     m_reportedFreshness = freshness;
     m_freshnessHandler(freshness);
 }
@@ -310,7 +310,7 @@
     if (!m_daemons)
         return 0;
     const bool hasSelf =
-        std::ranges::find(*m_daemons, m_self, &DaemonPlace::host) != m_daemons->end();
+        std::ranges::find(*m_daemons, m_self, &DaemonLocation::host) != m_daemons->end();
     return m_daemons->size() + (hasSelf ? 0 : 1);
 }
 
--- a/src/libbulrushentry/statepublisher.h
+++ b/src/libbulrushentry/statepublisher.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "process/configbudget.h"
-#include "process/daemonplace.h"
+#include "process/daemonlocation.h"
 #include "process/drainbudget.h"
 #include "process/routingdatafreshness.h"
 #include "process/routingstate.h"
@@ -54,7 +54,7 @@
      * Sets the daemons that have rows, which may not include this one yet, and publishes them if
      * they have changed.
      */
-    void setDaemons(std::vector<DaemonPlace> daemons);
+    void setDaemons(std::vector<DaemonLocation> daemons);
 
     /** Records that the server \a id has stopped, even if its record still exists. */
     void recordServerStopped(const ServerName &id);
@@ -107,7 +107,7 @@
     std::map<ServiceName, std::shared_ptr<const KeyAssignment>> m_assignments;
     HostName m_self;
     /** The daemons that have rows; nothing until these rows were received. */
-    std::optional<std::vector<DaemonPlace>> m_daemons;
+    std::optional<std::vector<DaemonLocation>> m_daemons;
     bool m_hasServers = false;
 };
 
--- a/tests/requestqueue/test_requestqueue.cpp
+++ b/tests/requestqueue/test_requestqueue.cpp
@@ -133,7 +133,7 @@
 
 BOOST_FIXTURE_TEST_CASE(noServerIsUsedWithOutdatedRoutingDataWhileStoreAnswers, Fixture)
 {
-    picker.setDataFreshness({start, false});
+    picker.setServerFreshness({start, false});
     queue.add(request(plain, start));
     BOOST_TEST(dispatch(start + 1400ms).at(1) == "p1");
     BOOST_TEST((picker.maxSendAge(state.servers[plain][0]) == start + 1500ms));
@@ -143,10 +143,10 @@
     BOOST_TEST(dispatch(start + 1401ms, &givenUpReasons).empty());
     BOOST_TEST(givenUpReasons.empty());
     // Requests are sent after newer data is received, or if the store is known to be unreachable.
-    picker.setDataFreshness({start + 1300ms, false});
+    picker.setServerFreshness({start + 1300ms, false});
     BOOST_TEST(dispatch(start + 1410ms).size() == 2U);
     queue.add(request(plain, start + 5s));
-    picker.setDataFreshness({start + 1300ms, true});
+    picker.setServerFreshness({start + 1300ms, true});
     BOOST_TEST(dispatch(start + 5s).size() == 1U);
     // A server that is known to drain is not used in either case.
     state.servers[keyed][1].drainsAfter = start + 1300ms;
--- a/tests/requestqueue/test_slowstart.cpp
+++ b/tests/requestqueue/test_slowstart.cpp
@@ -33,10 +33,10 @@
     return server;
 }
 
-std::vector<DaemonPlace> fleetOf(std::size_t count, std::size_t first = 0)
+std::vector<DaemonLocation> fleetOf(std::size_t count, std::size_t first = 0)
 {
     const std::array<std::string, 3> domains{"a", "b", "c"};
-    std::vector<DaemonPlace> daemons;
+    std::vector<DaemonLocation> daemons;
     for (std::size_t i = first; i < first + count; ++i)
         daemons.push_back({HostName{"front-" + std::to_string(i)}, DomainName{domains[i % 3]}});
     return daemons;
@@ -51,10 +51,10 @@
 };
 
 /** Adds the daemons of \a fleet, which know each other only. */
-void addSenders(std::vector<Sender> &senders, const std::vector<DaemonPlace> &fleet,
+void addSenders(std::vector<Sender> &senders, const std::vector<DaemonLocation> &fleet,
                 const KnownServer &server)
 {
-    for (const DaemonPlace &daemon : fleet)
+    for (const DaemonLocation &daemon : fleet)
         senders.push_back({{}, SlowStart::rankOf(server.record, daemon.host, fleet), fleet.size()});
 }
 
@@ -110,11 +110,11 @@
     std::mt19937 random{7};
     for (int trial = 0; trial < 40; ++trial) {
         const KnownServer server = coldServer("i-" + std::to_string(trial));
-        const std::vector<DaemonPlace> fleet = fleetOf(66);
+        const std::vector<DaemonLocation> fleet = fleetOf(66);
         std::vector<Sender> senders;
-        for (const DaemonPlace &self : fleet) {
-            std::vector<DaemonPlace> known;
-            for (const DaemonPlace &daemon : fleet) {
+        for (const DaemonLocation &self : fleet) {
+            std::vector<DaemonLocation> known;
+            for (const DaemonLocation &daemon : fleet) {
                 if (daemon == self || random() % 10 > 0)
                     known.push_back(daemon);
             }
@@ -127,10 +127,10 @@
 
 BOOST_AUTO_TEST_CASE(daemonsOfTheServersDomainComeFirst)
 {
-    const std::vector<DaemonPlace> fleet = fleetOf(66);
+    const std::vector<DaemonLocation> fleet = fleetOf(66);
     const KnownServer server = coldServer("i-1");
     std::vector<std::size_t> ranks;
-    for (const DaemonPlace &daemon : fleet) {
+    for (const DaemonLocation &daemon : fleet) {
         ranks.push_back(SlowStart::rankOf(server.record, daemon.host, fleet).value());
         if (ranks.back() < SlowStart::senderCount)
             BOOST_TEST(daemon.domain.value() == "a");
@@ -139,13 +139,13 @@
     for (std::size_t i = 0; i < ranks.size(); ++i)
         BOOST_TEST(ranks[i] == i);
     // A domain that has lost its daemons is served by the others.
-    const std::vector<DaemonPlace> others{{HostName{"b1"}, DomainName{"b"}}};
+    const std::vector<DaemonLocation> others{{HostName{"b1"}, DomainName{"b"}}};
     BOOST_TEST(SlowStart::rankOf(server.record, HostName{"b1"}, others).value() == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(sendersDifferBetweenServers)
 {
-    const std::vector<DaemonPlace> fleet = fleetOf(66);
+    const std::vector<DaemonLocation> fleet = fleetOf(66);
     std::vector<int> serversOf(fleet.size());
     for (int i = 0; i < 63; ++i) {
         const KnownServer server = coldServer("i-" + std::to_string(i));
