Take servers for cold after an evacuation that was missed, and log cold times

Cause: the end of an evacuation was ignored by a daemon that had not received its beginning, as one that was cut off throughout; servers that had become cold shortly before counted as warm there. No log line told how long a server stays cold, so that the way from a refusal with server-cold ended at its start. Change: the removal of the row alone makes the servers there count as cold. server-seen has cold-ms, and is written when a server becomes cold again. The test of the missed evacuation fails on the code before.

--- a/src/libbulrush/process/serverdirectory.cpp
+++ b/src/libbulrush/process/serverdirectory.cpp
@@ -121,8 +121,7 @@
 
 void ServerDirectory::applyReturn(const DomainName &domain, Instant now)
 {
-    if (m_evacuations.erase(domain) == 0)
-        return;
+    m_evacuations.erase(domain);
     m_returnedAt[domain] = now;
     for (auto &[id, server] : m_servers) {
         if (server.record.domain != domain)
--- a/src/libbulrush/process/serverdirectory.h
+++ b/src/libbulrush/process/serverdirectory.h
@@ -107,8 +107,8 @@
     void applyEvacuation(const DomainName &domain, Instant now, Instant unchangedUntil);
 
     /**
-     * Applies that \a domain is no longer evacuated. Its servers may be cold, even if their records
-     * do not say so yet.
+     * Applies that \a domain is no longer evacuated, even if the evacuation itself was not
+     * received. Its servers may be cold, although their records do not say so yet.
      */
     void applyReturn(const DomainName &domain, Instant now);
 
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -186,13 +186,14 @@
 
 void StatePublisher::applyReturn(const DomainName &domain)
 {
-    const auto evacuation = m_directory.evacuations().find(domain);
-    if (evacuation == m_directory.evacuations().end())
-        return;
     const Instant now = io::hostNow();
-    io::logEvent(LogLevel::Info, "evacuation-ended",
-                 {{"domain", domain.value()},
-                  {"after-ms", io::millisecondsText(now - evacuation->second.receivedAt)}});
+    const auto evacuation = m_directory.evacuations().find(domain);
+    const bool wasKnown = evacuation != m_directory.evacuations().end();
+    io::logEvent(
+        LogLevel::Info, "evacuation-ended",
+        {{"domain", domain.value()},
+         {"after-ms",
+          wasKnown ? io::millisecondsText(now - evacuation->second.receivedAt) : "unknown"}});
     m_directory.applyReturn(domain, now);
     publish();
 }
@@ -242,20 +243,24 @@
         m_serversHandler();
 }
 
-/** Logs a server that is new, has returned, or has started or stopped draining. */
+/** Logs a server that is new, has returned or become cold, or has started or stopped draining. */
 void StatePublisher::logServerChange(const ServerRecord &record, std::uint64_t row,
                                      const TableChange &change) const
 {
     const KnownServer *known = m_directory.find(record.id);
-    if (known && known->record.isDraining == record.isDraining && !known->removedSince)
-        return;
     const Instant now = io::hostNow();
+    const bool becomesCold =
+        known && record.coldRemaining > Duration::zero() && !known->isCold(now);
+    if (known && known->record.isDraining == record.isDraining && !known->removedSince
+        && !becomesCold)
+        return;
     // The server wrote its row between the instants of the last two fields.
     io::logEvent(LogLevel::Info, "server-seen",
                  {{"server", record.id.value()},
                   {"service", record.service.value()},
                   {"address", toString(record.address)},
                   {"draining", record.isDraining ? "yes" : "no"},
+                  {"cold-ms", io::millisecondsText(record.coldRemaining)},
                   {"row", std::to_string(row)},
                   {"source", m_servers.source()},
                   {"unchanged-until-ms-ago", io::millisecondsText(now - change.unchangedUntil)},
--- a/tests/routing/test_serverdirectory.cpp
+++ b/tests/routing/test_serverdirectory.cpp
@@ -186,3 +186,14 @@
     directory.setColdStarts({{ServiceName{"s"}, {3s, 5.9}}});
     BOOST_TEST(directory.find(ServerName{"one"})->coldRate == 5.9);
 }
+
+BOOST_AUTO_TEST_CASE(serversMayBeColdAfterAnEvacuationThatWasMissed)
+{
+    // This daemon was cut off throughout the evacuation, and only receives that it has ended.
+    ServerDirectory directory;
+    directory.setColdStarts({{ServiceName{"s"}, {3s, 5.9}}});
+    directory.applyRecord(record("one"), start, start);
+    directory.applyReturn(DomainName{"a"}, start + 9s);
+    BOOST_TEST(directory.find(ServerName{"one"})->isCold(start + 11999ms));
+    BOOST_TEST(!directory.find(ServerName{"one"})->isCold(start + 12s));
+}
