--- a/src/bulrushctl/evacuationcommands.cpp
+++ b/src/bulrushctl/evacuationcommands.cpp
@@ -1,6 +1,8 @@
 #include "evacuationcommands.h"
 
 #include "daemonaccess.h"
+#include "jsontext.h"
+#include "process/jsonreader.h"
 #include "texttable.h"
 #include "version/evacuationreportcodec.h"
 
@@ -42,9 +44,11 @@
     summary.keysLeft = std::max(summary.keysLeft, keys);
 }
 
-std::map<DomainName, DomainSummary> summaries(const std::vector<EvacuationReport> &reports)
+using DomainSummaries = std::map<DomainName, DomainSummary>;
+
+DomainSummaries summaries(const std::vector<EvacuationReport> &reports)
 {
-    std::map<DomainName, DomainSummary> domains;
+    DomainSummaries domains;
     for (const EvacuationReport &report : reports) {
         for (const EvacuatedDomain &evacuated : report.evacuated) {
             DomainSummary &summary = domains[evacuated.domain];
@@ -59,6 +63,36 @@
     return domains;
 }
 
+std::string summariesText(const DomainSummaries &domains, std::size_t daemonCount)
+{
+    TextTable table{{"DOMAIN", "FOR", "KNOWN TO", "KEYS LEFT", "IN FLIGHT"}};
+    for (const auto &[domain, summary] : domains) {
+        const auto seconds =
+            std::chrono::duration_cast<std::chrono::seconds>(summary.longestAge).count();
+        table.addRow({domain.value(), std::to_string(seconds) + " s",
+                      std::to_string(summary.daemons) + " of " + std::to_string(daemonCount),
+                      std::to_string(summary.keysLeft), std::to_string(summary.inFlight)});
+    }
+    return table.isEmpty() ? "no domain is evacuated\n" : table.text();
+}
+
+Json::Value summariesJson(const DomainSummaries &domains, std::size_t daemonCount)
+{
+    Json::Value json{Json::objectValue};
+    json["daemons"] = io::jsonOf(std::uint64_t{daemonCount});
+    json["evacuated"] = Json::Value{Json::arrayValue};
+    for (const auto &[domain, summary] : domains) {
+        Json::Value entry{Json::objectValue};
+        entry["domain"] = domain.value();
+        entry["age"] = io::jsonOf(summary.longestAge);
+        entry["knownTo"] = io::jsonOf(std::uint64_t{summary.daemons});
+        entry["keysLeft"] = io::jsonOf(summary.keysLeft);
+        entry["inFlight"] = io::jsonOf(summary.inFlight);
+        json["evacuated"].append(std::move(entry));
+    }
+    return json;
+}
+
 std::string_view verdictText(EvacuationVerdict verdict)
 {
     switch (verdict) {
@@ -72,6 +106,32 @@
     return "no servers left";
 }
 
+std::string impactText(const std::vector<EvacuationImpact> &impacts)
+{
+    TextTable table{{"SERVICE", "SERVERS LEFT", "SLOTS LEFT", "IN FLIGHT NOW", "VERDICT"}};
+    for (const EvacuationImpact &impact : impacts)
+        table.addRow({impact.service.value(), std::to_string(impact.serversLeft),
+                      std::to_string(impact.slotsLeft), std::to_string(impact.inFlight),
+                      std::string{verdictText(impact.verdict)}});
+    return table.text();
+}
+
+Json::Value impactJson(const std::vector<EvacuationImpact> &impacts)
+{
+    Json::Value json{Json::objectValue};
+    json["services"] = Json::Value{Json::arrayValue};
+    for (const EvacuationImpact &impact : impacts) {
+        Json::Value entry{Json::objectValue};
+        entry["service"] = impact.service.value();
+        entry["serversLeft"] = io::jsonOf(impact.serversLeft);
+        entry["slotsLeft"] = io::jsonOf(impact.slotsLeft);
+        entry["inFlight"] = io::jsonOf(impact.inFlight);
+        entry["verdict"] = std::string{verdictText(impact.verdict)};
+        json["services"].append(std::move(entry));
+    }
+    return json;
+}
+
 bool hasServers(const std::vector<EvacuationReport> &reports, const DomainName &domain)
 {
     const auto isUsed = [&domain](const DomainUse &use) {
@@ -96,15 +156,9 @@
     const bool isComplete = queryReports();
     if (m_reports.empty())
         return ExitCode::Unreachable;
-    TextTable table{{"DOMAIN", "FOR", "KNOWN TO", "KEYS LEFT", "IN FLIGHT"}};
-    for (const auto &[domain, summary] : summaries(m_reports)) {
-        const auto seconds =
-            std::chrono::duration_cast<std::chrono::seconds>(summary.longestAge).count();
-        table.addRow({domain.value(), std::to_string(seconds) + " s",
-                      std::to_string(summary.daemons) + " of " + std::to_string(m_reports.size()),
-                      std::to_string(summary.keysLeft), std::to_string(summary.inFlight)});
-    }
-    m_console.out << (table.isEmpty() ? "no domain is evacuated\n" : table.text());
+    const DomainSummaries domains = summaries(m_reports);
+    m_console.out << (m_console.isJson() ? indentedText(summariesJson(domains, m_reports.size()))
+                                         : summariesText(domains, m_reports.size()));
     return isComplete ? ExitCode::Done : ExitCode::Unreachable;
 }
 
@@ -117,17 +171,13 @@
         m_console.err << "no daemon knows a server in " << domain.value() << '\n';
         return ExitCode::Refused;
     }
-    TextTable table{{"SERVICE", "SERVERS LEFT", "SLOTS LEFT", "IN FLIGHT NOW", "VERDICT"}};
-    bool fits = true;
-    for (const EvacuationImpact &impact : evacuationImpact(m_reports, domain)) {
-        fits = fits && impact.verdict == EvacuationVerdict::Fits;
-        table.addRow({impact.service.value(), std::to_string(impact.serversLeft),
-                      std::to_string(impact.slotsLeft), std::to_string(impact.inFlight),
-                      std::string{verdictText(impact.verdict)}});
-    }
-    m_console.out << table.text();
+    const std::vector<EvacuationImpact> impacts = evacuationImpact(m_reports, domain);
+    m_console.out << (m_console.isJson() ? indentedText(impactJson(impacts)) : impactText(impacts));
     if (!isComplete)
         return ExitCode::Unreachable;
+    const bool fits = std::ranges::all_of(impacts, [](const EvacuationImpact &impact) {
+        return impact.verdict == EvacuationVerdict::Fits;
+    });
     return fits ? ExitCode::Done : ExitCode::Refused;
 }
 
--- a/tests/bulrushctl/test_daemoncommands.cpp
+++ b/tests/bulrushctl/test_daemoncommands.cpp
@@ -5,6 +5,7 @@
 #include "daemonaccess.h"
 #include "fakeplatform.h"
 #include "operatorcommands.h"
+#include "process/jsonreader.h"
 #include "scriptedserver.h"
 #include "version/burnreport.h"
 
@@ -214,3 +215,20 @@
                 == ExitCode::Unreachable);
     BOOST_CHECK(runLine({"evacuation", "show"}).code == ExitCode::Unreachable);
 }
+
+BOOST_AUTO_TEST_CASE(evacuationCommandsPrintJsonIfAsked)
+{
+    const auto json = [](std::vector<std::string> arguments) {
+        ScriptedServer daemon{{evacuationReport("antwerp-1", 4)}};
+        arguments.insert(arguments.begin(),
+                         {"--output", "json", "--daemon", toString(daemon.endpoint())});
+        return io::parseJson(runLine(arguments).out);
+    };
+    const Json::Value shown = json({"evacuation", "show"});
+    BOOST_TEST(shown["daemons"].asUInt() == 1u);
+    BOOST_TEST(shown["evacuated"][0]["domain"].asString() == "ghent");
+    BOOST_TEST(shown["evacuated"][0]["keysLeft"].asUInt() == 536u);
+    const Json::Value checked = json({"evacuation", "check", "bruges"});
+    BOOST_TEST(checked["services"][0]["slotsLeft"].asUInt() == 4u);
+    BOOST_TEST(checked["services"][0]["verdict"].asString() == "above the capacity left");
+}
