Read the limit that a server names, and log it; decisions unchanged

Answers' limits are decoded, kept with the order in which they can be known to have been given, and logged; so are fields of answers that no code reads, each name once. The stand-in of a backend server can name a limit. Nothing is decided by it yet.

--- /dev/null
+++ b/src/libbulrush/process/serverlimits.cpp
@@ -0,0 +1,52 @@
+#include "process/serverlimits.h"
+
+#include <algorithm>
+
+namespace bulrush {
+
+LimitChange ServerLimits::recordAnswer(const ServerName &server, const LimitStatement &statement,
+                                       bool wasRun, Instant sentAt, Instant now)
+{
+    if (const auto *rate = std::get_if<RateLimit>(&statement))
+        return applyRate(server, rate->perSecond, sentAt, now);
+    if (std::holds_alternative<UnreadableLimit>(statement))
+        return LimitChange::Unreadable;
+    return wasRun ? applyAbsence(server, sentAt) : LimitChange::None;
+}
+
+const KnownLimit *ServerLimits::find(const ServerName &server) const
+{
+    const auto limit = m_limits.find(server);
+    return limit == m_limits.end() ? nullptr : &limit->second;
+}
+
+void ServerLimits::remove(const ServerName &server)
+{
+    m_limits.erase(server);
+}
+
+LimitChange ServerLimits::applyRate(const ServerName &server, double perSecond, Instant sentAt,
+                                    Instant now)
+{
+    const auto [limit, isNew] = m_limits.try_emplace(server, KnownLimit{perSecond, now, now});
+    if (isNew)
+        return LimitChange::Named;
+    KnownLimit &known = limit->second;
+    const bool isNewer = sentAt >= known.namedAt;
+    const double next = isNewer ? perSecond : std::min(perSecond, known.perSecond);
+    const bool hasChanged = next != known.perSecond;
+    known.perSecond = next;
+    known.namedAt = now;
+    return hasChanged ? LimitChange::Changed : LimitChange::None;
+}
+
+LimitChange ServerLimits::applyAbsence(const ServerName &server, Instant sentAt)
+{
+    const auto limit = m_limits.find(server);
+    if (limit == m_limits.end() || sentAt < limit->second.namedAt)
+        return LimitChange::None;
+    m_limits.erase(limit);
+    return LimitChange::Ended;
+}
+
+} // namespace bulrush
--- a/src/libbulrushentry/entrycounters.h
+++ b/src/libbulrushentry/entrycounters.h
@@ -23,6 +23,7 @@
     AttemptsRepeated,
     AttemptsNotRun,
     AttemptsFailed,
+    AttemptsToLimited, ///< to servers that name a limit
     ConnectionsOpened,
     Count, ///< number of counters
 };
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -14,6 +14,35 @@
 
 /** Interval at which queued requests are dispatched, unless another event does so earlier. */
 constexpr Duration dispatchInterval = std::chrono::milliseconds{15};
+/** Maximum number of unknown fields that are logged, as servers may send any number. */
+constexpr std::size_t maxLoggedFields = 20;
+/** Maximum length of a field's value in a log line. */
+constexpr std::size_t maxLoggedValueLength = 40;
+
+std::string_view eventName(LimitChange change)
+{
+    switch (change) {
+    case LimitChange::Named:
+        return "server-limit-named";
+    case LimitChange::Changed:
+        return "server-limit-changed";
+    case LimitChange::Unreadable:
+        return "server-limit-unreadable";
+    case LimitChange::Ended:
+    case LimitChange::None:
+        break;
+    }
+    return "server-limit-ended";
+}
+
+std::string textOf(const LimitStatement &statement)
+{
+    if (const auto *limit = std::get_if<RateLimit>(&statement))
+        return std::to_string(limit->perSecond);
+    if (const auto *unreadable = std::get_if<UnreadableLimit>(&statement))
+        return unreadable->text.substr(0, maxLoggedValueLength);
+    return "none";
+}
 
 } // namespace
 
@@ -43,6 +72,7 @@
     state = std::move(published);
     retries.setDaemonCount(state->daemonCount);
     gauges.setDaemonCount(state->daemonCount);
+    removeStaleLimits();
     handleRemovedServers();
     scheduleDispatch();
 }
@@ -126,6 +156,18 @@
     return nullptr;
 }
 
+/** Removes the limits of servers that have left. */
+void ForwardContext::removeStaleLimits()
+{
+    std::vector<ServerName> gone;
+    for (const auto &[server, limit] : limits.limits()) {
+        if (!findServer(server))
+            gone.push_back(server);
+    }
+    for (const ServerName &server : gone)
+        limits.remove(server);
+}
+
 /** Treats suspect servers whose records were removed as stopped. */
 void ForwardContext::handleRemovedServers()
 {
@@ -135,6 +177,33 @@
     }
 }
 
+void ForwardContext::recordLimit(const ServerName &server, const LimitStatement &statement,
+                                 bool wasRun, Instant sentAt)
+{
+    const Instant now = io::hostNow();
+    const LimitChange change = limits.recordAnswer(server, statement, wasRun, sentAt, now);
+    if (change == LimitChange::None)
+        return;
+    const bool isUnreadable = change == LimitChange::Unreadable;
+    io::logEvent(isUnreadable ? LogLevel::Warning : LogLevel::Info, eventName(change),
+                 {{"server", server.value()},
+                  {"per-second", textOf(statement)},
+                  {"request-ms", io::millisecondsText(now - sentAt)}});
+}
+
+void ForwardContext::logUnknownFields(const ServerName &server,
+                                      std::span<const std::string_view> names)
+{
+    for (const std::string_view name : names) {
+        if (m_loggedFields.size() >= maxLoggedFields || m_loggedFields.contains(name))
+            continue;
+        m_loggedFields.emplace(name);
+        io::logEvent(LogLevel::Info, "answer-field-unknown",
+                     {{"server", server.value()},
+                      {"name", std::string{name.substr(0, maxLoggedValueLength)}}});
+    }
+}
+
 void ForwardContext::setFreshness(const RoutingDataFreshness &freshness)
 {
     m_configConfirmedAt = freshness.operatorRows.asOf;
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -10,6 +10,7 @@
 #include "process/routingdatafreshness.h"
 #include "process/routingstate.h"
 #include "process/servergauges.h"
+#include "process/serverlimits.h"
 #include "process/slowstart.h"
 #include "request/requestqueue.h"
 #include "version/keyadmission.h"
@@ -19,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,6 +54,7 @@
     std::shared_ptr<const RoutingState> state;
     ServerGauges gauges;
     SlowStart slowStart;
+    ServerLimits limits;
     ServerPicker picker;
     RequestQueue queue;
     RetryBudgets retries;
@@ -89,6 +92,16 @@
      */
     void recordServerStopped(const ServerName &server, std::string_view sign);
 
+    /**
+     * Applies what an answer of \a server to a request sent at \a sentAt states about its limit.
+     * \a wasRun tells whether the server ran the request.
+     */
+    void recordLimit(const ServerName &server, const LimitStatement &statement, bool wasRun,
+                     Instant sentAt);
+
+    /** Logs fields of a server's answer that this daemon does not know, each name once. */
+    void logUnknownFields(const ServerName &server, std::span<const std::string_view> names);
+
     /** Applies the age of the published routing data, and whether the store can confirm it. */
     void setFreshness(const RoutingDataFreshness &freshness);
 
@@ -104,12 +117,14 @@
 private:
     void handleConnectionEvent(const std::string &run, io::ServerClient::ConnectionEvent event);
     const ServerRecord *findServer(const ServerName &server) const;
+    void removeStaleLimits();
     void handleRemovedServers();
     void logRoutes(const RoutingState &published);
 
     ConfigBudget m_configBudget;
     /** The last instant at which the store was confirmed to hold no later configuration. */
     Instant m_configConfirmedAt;
+    std::set<std::string, std::less<>> m_loggedFields;
     bool m_isDispatchScheduled = false;
     bool m_isDispatchTimerSet = false;
 };
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -240,6 +240,8 @@
     const auto crashedBefore = m_context.quarantine->crashedServers(*m_fingerprint);
     m_crashedBefore.assign(crashedBefore.begin(), crashedBefore.end());
     m_context.counters.add(EntryCounter::AttemptsSent);
+    if (m_context.limits.find(m_server))
+        m_context.counters.add(EntryCounter::AttemptsToLimited);
     if (m_attempts > 1)
         m_context.counters.add(EntryCounter::AttemptsRepeated);
     m_context.gauges.attemptStarted(server.id, m_sentAt);
@@ -326,6 +328,9 @@
                                                : AttemptOutcome::Served;
     m_context.gauges.attemptEnded(m_server, sign, now - m_sentAt,
                                   platform::serverLoad(response.headers), now);
+    m_context.recordLimit(m_server, platform::limitStatement(response.headers), !terms.isNotRun,
+                          m_sentAt);
+    m_context.logUnknownFields(m_server, platform::unknownFields(response.headers));
 
     if (terms.isNotRun) {
         m_context.counters.add(EntryCounter::AttemptsNotRun);
@@ -541,6 +546,7 @@
 void ForwardExchange::log(std::string_view outcome, int status, std::string_view reason) const
 {
     const std::uint64_t version = m_routes ? m_routes->config().version : 0;
+    const KnownLimit *limit = m_context.limits.find(m_server);
     const KeyAssignment *assignment = currentAssignment();
     const OwnedRange *owned = assignment ? assignment->find(*m_terms.key) : nullptr;
     io::logEvent(LogLevel::Info, "request",
@@ -557,6 +563,7 @@
                   {"moving", owned && owned->isMoving() ? "yes" : "no"},
                   {"assignment", std::to_string(assignment ? assignment->sequence : 0)},
                   {"server", m_server.value()},
+                  {"server-limit", limit ? std::to_string(limit->perSecond) : "none"},
                   {"attempts", std::to_string(m_attempts)},
                   {"ms", io::millisecondsText(elapsed())},
                   {"left-ms", io::millisecondsText(timeLeft())},
--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -393,6 +393,13 @@
     m_http.post(server(id).address() + "/_control", json.toStyledString());
 }
 
+void EntryFleet::nameLimit(const std::string &id, const std::string &limit)
+{
+    Json::Value json;
+    json["namedLimit"] = limit;
+    m_http.post(server(id).address() + "/_control", json.toStyledString());
+}
+
 void EntryFleet::delayOrders(const std::string &id, int count, std::chrono::milliseconds delay)
 {
     Json::Value json;
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -148,6 +148,12 @@
      */
     void delayOrders(const std::string &id, int count, std::chrono::milliseconds delay);
 
+    /**
+     * Makes the server name \a limit, a number of requests per second, in each of its answers; none
+     * if it is empty.
+     */
+    void nameLimit(const std::string &id, const std::string &limit);
+
     /** \returns the value of the metric \a name of \a host's daemon, or -1 if there is none. */
     std::int64_t counter(const std::string &host, const std::string &name);
 
--- a/tests/platformadapter/test_platformformats.cpp
+++ b/tests/platformadapter/test_platformformats.cpp
@@ -294,3 +294,31 @@
     const std::vector<io::HttpHeader> wrong = {{"X-Bulrushswitch-Server-Load", "3,x,3"}};
     BOOST_TEST(!serverLoad(wrong).has_value());
 }
+
+BOOST_AUTO_TEST_CASE(limitIsANumberFromZeroThatOccursOnce)
+{
+    const auto statement = [](const std::string &value) {
+        return limitStatement(std::vector<io::HttpHeader>{{"Server-Limit", value}});
+    };
+    BOOST_TEST((limitStatement({}) == LimitStatement{NoLimit{}}));
+    BOOST_TEST((statement("5.3") == LimitStatement{RateLimit{5.3}}));
+    BOOST_TEST((statement(" 0 ") == LimitStatement{RateLimit{0.0}}));
+    BOOST_TEST((statement("5e2") == LimitStatement{RateLimit{500.0}}));
+    for (const std::string wrong : {"", "-1", "nan", "inf", "5,3", "5 a second", "1e999"})
+        BOOST_TEST((statement(wrong) == LimitStatement{UnreadableLimit{wrong}}), wrong);
+    const std::vector<io::HttpHeader> twice{{"Server-Limit", "5"}, {"server-limit", "6"}};
+    BOOST_TEST((limitStatement(twice) == LimitStatement{UnreadableLimit{"6"}}));
+    const std::vector<io::HttpHeader> prefixed{{"X-Bulrushswitch-Server-Limit", "7"}};
+    BOOST_TEST((limitStatement(prefixed) == LimitStatement{RateLimit{7.0}}));
+}
+
+BOOST_AUTO_TEST_CASE(fieldsThatAreNotKnownAreFound)
+{
+    const std::vector<io::HttpHeader> headers{{"Content-Length", "3"},
+                                              {"X-Bulrushswitch-Server-Load", "1,0,2"},
+                                              {"X-Bulrushswitch-Mood", "low"},
+                                              {"server-limit", "5"}};
+    const std::vector<std::string_view> names = unknownFields(headers);
+    BOOST_REQUIRE(names.size() == 1U);
+    BOOST_TEST(names.front() == "X-Bulrushswitch-Mood");
+}
--- a/tests/standins/keyed/keyedserver.cpp
+++ b/tests/standins/keyed/keyedserver.cpp
@@ -297,7 +297,11 @@
 {
     const std::string load = std::to_string(m_running.size()) + ',' + std::to_string(m_queue.size())
         + ',' + std::to_string(m_settings.slots);
-    return {{requestIdHeader, requestId}, {"X-Bulrushswitch-Server-Load", load}};
+    std::vector<HeaderField> headers{{requestIdHeader, requestId},
+                                     {"X-Bulrushswitch-Server-Load", load}};
+    if (!m_namedLimit.empty())
+        headers.push_back({"Server-Limit", m_namedLimit});
+    return headers;
 }
 
 void KeyedServer::handleControl(const RequestHandle &request)
@@ -309,6 +313,7 @@
 
 void KeyedServer::setFaults(const Json::Value &json)
 {
+    m_namedLimit = json["namedLimit"].asString();
     const Json::Value &faults = json["spoilAnswers"];
     m_answerFaults.clear();
     for (const std::string &name : faults.getMemberNames()) {
--- a/tests/standins/keyed/keyedserver.h
+++ b/tests/standins/keyed/keyedserver.h
@@ -59,8 +59,8 @@
  * Runs requests, each identified by its id, in a fixed number of slots with a queue. Accepts grants
  * of keys with fencing tokens, and confirms a release once no request for its keys is running any
  * more. `GET /_control` lists the requests that were executed; `POST /_control` sets how many
- * answers are faulty and in which way, and how many orders (grants and releases) are left
- * unanswered and executed late.
+ * answers are faulty and in which way, how many orders (grants and releases) are left unanswered
+ * and executed late, and which limit answers name.
  *
  * Not thread safe: to be used on the event loop's thread only.
  */
@@ -131,6 +131,8 @@
     std::map<AnswerFault, int> m_answerFaults;
     /** How many of the next orders are left unanswered, and after which delay they are executed. */
     int m_ordersToDelay = 0;
+    /** The value of the limit in each answer; empty if answers name none. */
+    std::string m_namedLimit;
     std::chrono::milliseconds m_orderDelay{0};
     std::chrono::steady_clock::time_point m_startedAt = std::chrono::steady_clock::now();
     /** When the requests of the last second arrived, while the server is cold. */
