Issue permits for requests to a server that names a limit, from one place for all daemons

Cause: no code read the limit; and a limit for all hosts together can't be kept by each of them alone.

A daemon that knows a server's limit sends to it with a permit only. Permits are issued by the first daemon in an order that differs between servers (rendezvous hashing, as for cold servers), by the generic cell rate algorithm, in advance if the request can wait: 95 in 100 of the limit by the primary, 45 by the backup, so that both together stay within one and a half times the limit. A request for a key that gets no permit is refused at once, with a Retry-After by when there is room; without a key it goes to another server. The issuer tells the end of a limit to daemons that have not heard of it.

--- a/src/libbulrush/process/serverlimits.cpp
+++ b/src/libbulrush/process/serverlimits.cpp
@@ -14,6 +14,20 @@
     return wasRun ? applyAbsence(server, sentAt) : LimitChange::None;
 }
 
+void ServerLimits::applyEnd(const ServerName &server, Instant namedAt)
+{
+    const auto limit = m_limits.find(server);
+    if (limit != m_limits.end() && limit->second.namedAt <= namedAt)
+        m_limits.erase(limit);
+}
+
+void ServerLimits::close(const ServerName &server, Instant instant)
+{
+    const auto limit = m_limits.find(server);
+    if (limit != m_limits.end())
+        limit->second.closedUntil = instant;
+}
+
 const KnownLimit *ServerLimits::find(const ServerName &server) const
 {
     const auto limit = m_limits.find(server);
@@ -28,7 +42,7 @@
 LimitChange ServerLimits::applyRate(const ServerName &server, double perSecond, Instant sentAt,
                                     Instant now)
 {
-    const auto [limit, isNew] = m_limits.try_emplace(server, KnownLimit{perSecond, now, now});
+    const auto [limit, isNew] = m_limits.try_emplace(server, KnownLimit{perSecond, now, now, {}});
     if (isNew)
         return LimitChange::Named;
     KnownLimit &known = limit->second;
--- a/src/libbulrush/process/serverlimits.h
+++ b/src/libbulrush/process/serverlimits.h
@@ -17,6 +17,8 @@
     Instant since;
     /** When the server last named it, as far as this daemon knows. */
     Instant namedAt;
+    /** Until then this daemon does not query a permit for the server. */
+    Instant closedUntil = {};
 };
 
 /** What an answer changed about a server's limit. */
@@ -48,6 +50,12 @@
     LimitChange recordAnswer(const ServerName &server, const LimitStatement &statement, bool wasRun,
                              Instant sentAt, Instant now);
 
+    /** Applies that \a server had no limit any more at some time after \a namedAt. */
+    void applyEnd(const ServerName &server, Instant namedAt);
+
+    /** Queries no permit for \a server until \a instant. \pre a limit of the server is known */
+    void close(const ServerName &server, Instant instant);
+
     /** \returns the limit of \a server, or null if none is known. Valid until the next change. */
     const KnownLimit *find(const ServerName &server) const;
 
--- a/src/libbulrush/process/slowstart.cpp
+++ b/src/libbulrush/process/slowstart.cpp
@@ -1,9 +1,8 @@
 #include "process/slowstart.h"
 
-#include <xxhash.h>
+#include "process/rendezvousorder.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace bulrush {
 
@@ -14,18 +13,6 @@
 /** Lower bound of the cold rate, in requests per second. Its pause is within sendRetention. */
 constexpr double minColdRate = 0.1;
 
-/** Position of a daemon in the order for a server; lower comes first. */
-using OrderKey = std::tuple<bool, std::uint64_t, HostName>;
-
-OrderKey orderKey(const ServerRecord &server, const DaemonLocation &daemon)
-{
-    const std::string &name = server.id.value();
-    const std::string &host = daemon.host.value();
-    const std::uint64_t seed = XXH3_64bits(name.data(), name.size());
-    return {daemon.domain != server.domain, XXH3_64bits_withSeed(host.data(), host.size(), seed),
-            daemon.host};
-}
-
 /** \returns the time between two requests of one daemon to a server with the given cold rate. */
 Duration pauseOf(double coldRate)
 {
@@ -39,12 +26,7 @@
 std::optional<std::size_t> SlowStart::rankOf(const ServerRecord &server, const HostName &self,
                                              std::span<const DaemonLocation> daemons)
 {
-    const auto own = std::ranges::find(daemons, self, &DaemonLocation::host);
-    if (own == daemons.end())
-        return std::nullopt;
-    const OrderKey ownKey = orderKey(server, *own);
-    return static_cast<std::size_t>(std::ranges::count_if(
-        daemons, [&](const DaemonLocation &daemon) { return orderKey(server, daemon) < ownKey; }));
+    return RendezvousOrder{server.id, server.domain}.rankOf(self, daemons);
 }
 
 bool SlowStart::isActive(const KnownServer &server, Instant now)
--- a/src/libbulrush/request/requestqueue.cpp
+++ b/src/libbulrush/request/requestqueue.cpp
@@ -28,9 +28,11 @@
     case GiveUpReason::Cold:
         return "server-cold";
     case GiveUpReason::Evacuated:
+        return "domain-evacuated";
+    case GiveUpReason::Limited:
         break;
     }
-    return "domain-evacuated";
+    return "server-limited";
 }
 
 RequestQueue::RequestQueue(const ServerPicker &picker)
@@ -111,6 +113,8 @@
         return GiveUpReason::Cold;
     if (cause == NoServer::Evacuated)
         return GiveUpReason::Evacuated;
+    if (cause == NoServer::Limited)
+        return GiveUpReason::Limited;
     if (cause == NoServer::Absent) {
         if (!request.absentSince)
             request.absentSince = now;
@@ -132,8 +136,9 @@
 
 ServerDemand RequestQueue::demandOf(const WaitingRequest &request)
 {
-    return {request.service, request.key,   request.kind, request.onTimeUntil - request.arrivedAt,
-            request.tried,   request.ticket};
+    return {
+        request.service, request.key,    request.kind,     request.onTimeUntil - request.arrivedAt,
+        request.tried,   request.ticket, request.permitted};
 }
 
 } // namespace bulrush
--- a/src/libbulrush/request/requestqueue.h
+++ b/src/libbulrush/request/requestqueue.h
@@ -28,6 +28,8 @@
     Instant answerBy;
     /** Earliest instant of the next attempt, after an attempt that was not executed. */
     Instant notBefore;
+    /** The server for which it has a permit; empty if it has none. */
+    ServerName permitted = {};
     /** Instant since which no server has been available for it; managed by the queue. */
     std::optional<Instant> absentSince;
 };
@@ -41,6 +43,7 @@
     AllTried,     ///< it was sent to every server already
     Cold,         ///< only other daemons may send to the servers, which are cold
     Evacuated,    ///< all servers of its service are in evacuated failure domains
+    Limited,      ///< no server takes it in time, by the limits that servers name
 };
 
 /** \returns the name of \a reason in logs. */
--- a/src/libbulrush/request/serverpicker.cpp
+++ b/src/libbulrush/request/serverpicker.cpp
@@ -40,10 +40,11 @@
 
 } // namespace
 
-ServerPicker::ServerPicker(const ServerGauges &gauges, const SlowStart &slowStart,
-                           DomainName ownDomain, const LeavingServerBudgets &budgets)
-    : m_gauges(gauges)
-    , m_slowStart(slowStart)
+ServerPicker::ServerPicker(const Sources &sources, DomainName ownDomain,
+                           const LeavingServerBudgets &budgets)
+    : m_gauges(sources.gauges)
+    , m_slowStart(sources.slowStart)
+    , m_limits(sources.limits)
     , m_ownDomain(std::move(ownDomain))
     , m_drainBudget(budgets.drain)
     , m_evacuationBudget(budgets.evacuation)
@@ -88,6 +89,13 @@
                                  now);
 }
 
+/** \returns whether \a server names a limit, and the request has and gets no permit for it now. */
+bool ServerPicker::isClosed(const ServerDemand &demand, const ServerName &server, Instant now) const
+{
+    const KnownLimit *limit = m_limits.find(server);
+    return limit && now < limit->closedUntil && demand.permitted != server;
+}
+
 ServerPick ServerPicker::pick(const RoutingState &state, const ServerDemand &demand,
                               Instant now) const
 {
@@ -154,6 +162,8 @@
     // Waiting for an unreachable server is useless. Single requests check whether it answers again.
     if (m_gauges.isUnreachable(server->record.id, now))
         return NoServer::Unreachable;
+    if (isClosed(demand, server->record.id, now))
+        return NoServer::Limited;
     if (!m_gauges.hasRoom(server->record, now))
         return NoServer::Busy;
     return &server->record;
@@ -167,6 +177,7 @@
     bool hasReady = false;
     bool hasSlowStart = false;
     bool hasUntried = false;
+    bool hasOpen = false;
     std::uint64_t index = 0;
     for (const KnownServer &server : state.serversOf(demand.service)) {
         ++index;
@@ -181,9 +192,14 @@
         if (wasTried(demand, server.record.id))
             continue;
         hasUntried = true;
+        if (isClosed(demand, server.record.id, now))
+            continue;
+        hasOpen = true;
         if (admitted == SlowStartAdmission::Paced || !m_gauges.hasRoom(server.record, now))
             continue;
         const double noise = 1.0 + costNoise * pseudoRandom(demand.salt, index);
+        if (demand.permitted == server.record.id)
+            return &server.record;
         const Duration cost{static_cast<std::int64_t>(
             static_cast<double>(costOf(server.record, demand, now).count()) * noise)};
         if (!best || cost < bestCost) {
@@ -197,7 +213,9 @@
         return NoServer::Cold;
     if (!hasReady)
         return reasonForAbsence(state.serversOf(demand.service));
-    return hasUntried ? NoServer::Busy : NoServer::AllTried;
+    if (!hasUntried)
+        return NoServer::AllTried;
+    return hasOpen ? NoServer::Busy : NoServer::Limited;
 }
 
 Duration ServerPicker::costOf(const ServerRecord &server, const ServerDemand &demand,
--- a/src/libbulrush/request/serverpicker.h
+++ b/src/libbulrush/request/serverpicker.h
@@ -5,6 +5,7 @@
 #include "process/evacuationbudget.h"
 #include "process/routingstate.h"
 #include "process/servergauges.h"
+#include "process/serverlimits.h"
 #include "process/slowstart.h"
 #include "version/routingconfig.h"
 
@@ -28,6 +29,8 @@
     std::span<const ServerName> tried;
     /** Differs between requests, so that daemons with equal data choose different servers. */
     std::uint64_t salt = 0;
+    /** The server for which the request has a permit; empty if it has none. */
+    ServerName permitted = {};
 };
 
 /** Reason why no server can receive a request now. */
@@ -38,6 +41,7 @@
     AllTried,    ///< all eligible servers were tried, so that waiting does not help
     Cold,        ///< the eligible servers are cold, and only other daemons send to them for now
     Evacuated,   ///< no server of the service is ready, for evacuations among other reasons
+    Limited,     ///< the eligible servers name limits, and no permit for them can be had now
 };
 
 /** The chosen server, valid during the lifetime of the routing state, or the reason for none. */
@@ -71,7 +75,7 @@
  * moved, and to any server if there is no newer routing data although the store answers. Otherwise
  * one slow hop in the propagation of routing data would cause requests to servers that have left.
  * The same applies to servers of evacuated failure domains. Cold servers are used as SlowStart
- * permits.
+ * permits. Servers that name a limit are chosen while permits for them can be queried.
  *
  * Not thread safe.
  */
@@ -86,7 +90,15 @@
     /** The same for uploads, whose transfer between domains costs more than a late answer. */
     static constexpr Duration uploadDomainMargin = std::chrono::milliseconds{1500};
 
-    ServerPicker(const ServerGauges &gauges, const SlowStart &slowStart, DomainName ownDomain,
+    /** The sources of data about the servers, which must outlive the picker. */
+    struct Sources
+    {
+        const ServerGauges &gauges;
+        const SlowStart &slowStart;
+        const ServerLimits &limits;
+    };
+
+    ServerPicker(const Sources &sources, DomainName ownDomain,
                  const LeavingServerBudgets &budgets = {});
 
     /** Sets how current the data about the servers is. */
@@ -118,11 +130,13 @@
                            Instant now) const;
     SlowStartAdmission admission(const RoutingState &state, const KnownServer &server,
                                  Instant now) const;
+    bool isClosed(const ServerDemand &demand, const ServerName &server, Instant now) const;
     bool mayAnyServerBeLeaving(Instant now) const;
     Duration costOf(const ServerRecord &server, const ServerDemand &demand, Instant now) const;
 
     const ServerGauges &m_gauges;
     const SlowStart &m_slowStart;
+    const ServerLimits &m_limits;
     DomainName m_ownDomain;
     DrainBudget m_drainBudget;
     EvacuationBudget m_evacuationBudget;
--- a/src/libbulrushentry/entrycounters.h
+++ b/src/libbulrushentry/entrycounters.h
@@ -24,6 +24,8 @@
     AttemptsNotRun,
     AttemptsFailed,
     AttemptsToLimited, ///< to servers that name a limit
+    PermitsQueried,    ///< for requests to servers that name limits
+    PermitsRefused,
     ConnectionsOpened,
     Count, ///< number of counters
 };
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -65,11 +65,13 @@
     , m_keys({followerDependencies(), m_client, m_state},
              {m_settings.host, newIncarnation(m_settings.host), m_settings.domain, m_settings.peers,
               plannerDelayOf(m_settings), m_settings.processors})
+    , m_permits(m_client, m_settings.host)
     , m_crashes(followerDependencies(), m_settings.host,
                 [this](std::shared_ptr<const Quarantine> quarantine) {
                     m_worker.setQuarantine(std::move(quarantine));
                 })
-    , m_peerService(m_keys, m_state, m_timers, m_followers, LinkBudget{m_settings.linkMegabits})
+    , m_peerService(m_keys, m_permits, m_state, m_timers, m_followers,
+                    LinkBudget{m_settings.linkMegabits})
     , m_pages({m_loop, m_settings, m_counters, m_storeCalls, m_peerService, m_worker, m_state,
                m_keys, m_crashes},
               [this] { return isReady(); })
@@ -100,6 +102,7 @@
         m_peerService.logServed();
     });
     connectCrashControl();
+    connectPermitControl();
     m_worker.start();
     m_state.start();
     m_keys.start();
@@ -124,10 +127,23 @@
          }});
     m_keys.setChangeHandler([this](const TableChange &change) {
         m_crashes.setDaemons(m_keys.hosts());
+        m_permits.setDaemons(m_keys.daemons());
         m_crashes.applyRows(change);
     });
 }
 
+/** Forwards the traffic thread's queries for permits, and their answers. */
+void EntryDaemon::connectPermitControl()
+{
+    m_worker.setPermitHandler([this](const PermitQuery &query, auto handler) {
+        asio::post(m_loop, [this, query, handler = std::move(handler)] {
+            m_permits.query(query, [this, handler](const PermitAnswer &answer) {
+                m_worker.handlePermit(answer, handler);
+            });
+        });
+    });
+}
+
 std::error_code EntryDaemon::listen()
 {
     m_operators = createPageServer(m_settings.operators);
@@ -217,6 +233,7 @@
     m_state.advance(now);
     m_keys.advance(now);
     m_crashes.advance(now);
+    m_permits.advance(now);
 }
 
 void EntryDaemon::collectLoads()
--- a/src/libbulrushentry/entrydaemon.h
+++ b/src/libbulrushentry/entrydaemon.h
@@ -8,6 +8,7 @@
 #include "forwardworker.h"
 #include "keycontrol.h"
 #include "peerservice.h"
+#include "permitcontrol.h"
 #include "platform/storeclient.h"
 #include "process/entrysettings.h"
 #include "process/looptimers.h"
@@ -62,6 +63,7 @@
     void reportLoads(std::vector<LoadSample> samples);
     bool isReady() const;
     void connectCrashControl();
+    void connectPermitControl();
 
     EntrySettings m_settings;
     EntryCounters m_counters;
@@ -77,6 +79,7 @@
     FollowerGroup m_followers;
     StatePublisher m_state;
     KeyControl m_keys;
+    PermitControl m_permits;
     CrashControl m_crashes;
     std::unique_ptr<io::CallerServer> m_operators;
     std::unique_ptr<io::CallerServer> m_metrics;
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -52,7 +52,7 @@
     , servers(ownLoop)
     , timers(ownLoop)
     , counters(ownCounters)
-    , picker(gauges, slowStart, settings.domain,
+    , picker({gauges, slowStart, limits}, settings.domain,
              {DrainBudget{settings.serverDrain}, EvacuationBudget{settings.evacuation}})
     , queue(picker)
     , retries(settings.retries)
@@ -177,18 +177,19 @@
     }
 }
 
-void ForwardContext::recordLimit(const ServerName &server, const LimitStatement &statement,
-                                 bool wasRun, Instant sentAt)
+LimitChange ForwardContext::recordLimit(const ServerName &server, const LimitStatement &statement,
+                                        bool wasRun, Instant sentAt)
 {
     const Instant now = io::hostNow();
     const LimitChange change = limits.recordAnswer(server, statement, wasRun, sentAt, now);
     if (change == LimitChange::None)
-        return;
+        return change;
     const bool isUnreadable = change == LimitChange::Unreadable;
     io::logEvent(isUnreadable ? LogLevel::Warning : LogLevel::Info, eventName(change),
                  {{"server", server.value()},
                   {"per-second", textOf(statement)},
                   {"request-ms", io::millisecondsText(now - sentAt)}});
+    return change;
 }
 
 void ForwardContext::logUnknownFields(const ServerName &server,
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -5,6 +5,7 @@
 #include "process/crashwatch.h"
 #include "process/entrysettings.h"
 #include "process/looptimers.h"
+#include "process/permit.h"
 #include "process/requestadmission.h"
 #include "process/retrybudgets.h"
 #include "process/routingdatafreshness.h"
@@ -38,6 +39,10 @@
     std::function<void(const RequestFingerprint &)> answered;
 };
 
+/** Passes a query for a permit on; the answer comes later, on the thread of the query. */
+using PermitHandler =
+    std::function<void(const PermitQuery &, std::function<void(const PermitAnswer &)>)>;
+
 /**
  * The state that the requests of one traffic thread share. All of it lives as long as the thread
  * and is used only there, except for the counters.
@@ -67,6 +72,8 @@
     std::set<RequestFingerprint> probes;
     /** Called on this thread. */
     CrashHandlers crashHandlers;
+    /** Called on this thread. */
+    PermitHandler permits;
     /** Servers that were found to be replaced, since the last report to the planner. */
     std::map<ServiceName, std::set<ServerName>> stoppedServers;
     /** Requested keys of services that are divided by key, since the last report to the planner. */
@@ -94,10 +101,10 @@
 
     /**
      * Applies what an answer of \a server to a request sent at \a sentAt states about its limit.
-     * \a wasRun tells whether the server ran the request.
+     * \a wasRun tells whether the server ran the request and did not fail. \returns what changed.
      */
-    void recordLimit(const ServerName &server, const LimitStatement &statement, bool wasRun,
-                     Instant sentAt);
+    LimitChange recordLimit(const ServerName &server, const LimitStatement &statement, bool wasRun,
+                            Instant sentAt);
 
     /** Logs fields of a server's answer that this daemon does not know, each name once. */
     void logUnknownFields(const ServerName &server, std::span<const std::string_view> names);
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -5,6 +5,7 @@
 #include "connection/transporterror.h"
 #include "process/hostclock.h"
 #include "process/logging.h"
+#include "process/permitissuer.h"
 
 #include <asio/post.hpp>
 #include <xxhash.h>
@@ -41,19 +42,35 @@
 constexpr Duration answerTransitTime = std::chrono::milliseconds{4};
 /** Maximum length of a request's path and query in a log line. */
 constexpr std::size_t maxLoggedPathLength = 80;
+/** A permit may be used for this long; the request may have to wait for a connection. */
+constexpr Duration permitValidity = std::chrono::milliseconds{300};
+/** Queries of this daemon for permits are this far apart, at most, while they are refused. */
+constexpr Duration maxPermitPause = std::chrono::seconds{10};
+/** Reason for refusing a request whose server takes no more of them now. */
+constexpr std::string_view limitedReason = "server-limited";
 /** Reason for refusing a suspect request while a probe finds out whether it crashes servers. */
 constexpr std::string_view mayCrashReason = "may-crash-servers";
 
-std::string retryAfter(std::uint64_t hash)
+/** \returns the seconds after which to retry: at least \a earliest, spread by \a hash. */
+std::string retryAfter(std::uint64_t hash, Duration earliest)
 {
     constexpr std::uint64_t steps = 1000;
     const double part = static_cast<double>(hash % steps) / steps;
+    const double least =
+        std::max(minRetryAfterSeconds, std::chrono::duration<double>(earliest).count());
     std::array<char, 16> text{};
-    std::snprintf(text.data(), text.size(), "%.2f",
-                  minRetryAfterSeconds + retryAfterSpreadSeconds * part);
+    std::snprintf(text.data(), text.size(), "%.2f", least + retryAfterSpreadSeconds * part);
     return text.data();
 }
 
+/** \returns the mean time between two permits of this daemon if all daemons have equal parts. */
+Duration permitPause(const KnownLimit &limit, std::size_t daemonCount)
+{
+    const double rate = std::max(PermitIssuer::minRate, limit.perSecond);
+    const std::chrono::duration<double> pause{static_cast<double>(daemonCount) / rate};
+    return std::min(maxPermitPause, std::chrono::duration_cast<Duration>(pause));
+}
+
 } // namespace
 
 ForwardExchange::ForwardExchange(ForwardContext &context,
@@ -223,12 +240,18 @@
     waiting.onTimeUntil = m_startedAt + m_route->targetLatency;
     waiting.answerBy = m_answerBy;
     waiting.notBefore = notBefore;
+    if (m_permit)
+        waiting.permitted = m_permit->server;
     m_context.queue.add(std::move(waiting));
     m_context.scheduleDispatch();
 }
 
 void ForwardExchange::sendTo(const ServerRecord &server)
 {
+    if (!hasPermit(server.id, io::hostNow())) {
+        queryPermit(server);
+        return;
+    }
     if (!beginProbe()) {
         m_context.counters.add(EntryCounter::RefusedCrashing);
         asio::post(m_context.loop, [self = shared_from_this()] { self->refuse(mayCrashReason); });
@@ -258,6 +281,9 @@
     call.body = m_body;
     call.timeout = timeLeft() + std::chrono::seconds{1};
     call.sendDeadline = std::min(m_answerBy - RequestQueue::minServiceTime, recordChoice());
+    if (m_permit && m_permit->server == server.id)
+        call.sendDeadline = std::min(call.sendDeadline, m_permit->validUntil);
+    m_permit.reset();
     call.echoedField = platform::requestIdField;
     m_call = m_context.servers.send(std::move(call),
                                     [self = shared_from_this()](const io::HttpResult &result) {
@@ -265,6 +291,76 @@
                                     });
 }
 
+/** \returns whether \a server names no limit, or the request may be sent to it all the same. */
+bool ForwardExchange::hasPermit(const ServerName &server, Instant now) const
+{
+    if (!m_context.limits.find(server))
+        return true;
+    return m_permit && m_permit->server == server && now >= m_permit->validFrom
+        && now < m_permit->validUntil;
+}
+
+/** \returns the longest time that the request should wait for a permit of \a server. */
+Duration ForwardExchange::maxPermitWait(const ServerRecord &server, Instant now) const
+{
+    // Other servers of the service can take the request.
+    if (!m_isDividedByKey)
+        return Duration::zero();
+    const Instant onTimeUntil = std::min(m_startedAt + m_route->targetLatency, m_answerBy);
+    return std::max(Duration::zero(),
+                    onTimeUntil - now - m_context.gauges.expectedLatency(server, now));
+}
+
+/** Queries a permit to send the request to \a server, which names a limit. */
+void ForwardExchange::queryPermit(const ServerRecord &server)
+{
+    const Instant now = io::hostNow();
+    const KnownLimit &limit = *m_context.limits.find(server.id);
+    m_permit.reset();
+    m_server = server.id;
+    if (!m_isDividedByKey)
+        m_context.limits.close(server.id, now + permitPause(limit, 1));
+    m_context.counters.add(EntryCounter::PermitsQueried);
+    const PermitQuery query{server.id, server.domain, limit.perSecond, now - limit.namedAt,
+                            maxPermitWait(server, now)};
+    m_context.permits(query,
+                      [self = shared_from_this(), namedAt = limit.namedAt,
+                       maxWait = query.maxWait](const PermitAnswer &answer) {
+                          self->handlePermit(answer, namedAt, maxWait);
+                      });
+}
+
+/** Handles the answer to a query that stated the limit which the server named at \a namedAt. */
+void ForwardExchange::handlePermit(const PermitAnswer &answer, Instant namedAt, Duration maxWait)
+{
+    if (m_isFinished)
+        return;
+    const Instant now = io::hostNow();
+    if (answer.outcome == PermitOutcome::Granted) {
+        m_permit = Permit{m_server, now + answer.wait, now + answer.wait + permitValidity};
+        enqueue(m_permit->validFrom);
+        return;
+    }
+    if (answer.outcome == PermitOutcome::LimitEnded) {
+        m_context.limits.applyEnd(m_server, namedAt);
+        enqueue(now);
+        return;
+    }
+    m_context.counters.add(EntryCounter::PermitsRefused);
+    m_limitedFor = answer.wait;
+    if (m_isDividedByKey) {
+        m_context.limits.close(m_server, now + std::max(Duration::zero(), answer.wait - maxWait));
+        refuse(limitedReason);
+        return;
+    }
+    if (const KnownLimit *limit = m_context.limits.find(m_server)) {
+        const Duration pause = permitPause(*limit, m_context.state->daemonCount);
+        m_context.limits.close(m_server, now + std::max(answer.wait, pause));
+    }
+    m_tried.push_back(m_server);
+    enqueue(now);
+}
+
 /**
  * Records the age of the routing data by which the server was chosen. \returns the instant until
  * which the request may be sent to it.
@@ -328,8 +424,7 @@
                                                : AttemptOutcome::Served;
     m_context.gauges.attemptEnded(m_server, sign, now - m_sentAt,
                                   platform::serverLoad(response.headers), now);
-    m_context.recordLimit(m_server, platform::limitStatement(response.headers), !terms.isNotRun,
-                          m_sentAt);
+    recordLimit(response, !terms.isNotRun && !isFailure);
     m_context.logUnknownFields(m_server, platform::unknownFields(response.headers));
 
     if (terms.isNotRun) {
@@ -361,6 +456,20 @@
         returnAnswer(response);
 }
 
+/** Applies what an answer states about the server's limit, and reports it if the limit has ended.
+ */
+void ForwardExchange::recordLimit(const io::HttpResponse &response, bool wasRun)
+{
+    const LimitStatement statement = platform::limitStatement(response.headers);
+    const LimitChange change = m_context.recordLimit(m_server, statement, wasRun, m_sentAt);
+    const KnownServer *server = m_context.state->server(m_service, m_server);
+    if (change != LimitChange::Ended || !server)
+        return;
+    // The other daemons learn it from the issuer of the permits.
+    m_context.permits({m_server, server->record.domain, std::nullopt, Duration::zero(), {}},
+                      [](const PermitAnswer &) {});
+}
+
 void ForwardExchange::handleBrokenAttempt(const io::HttpResult &result)
 {
     const Instant now = io::hostNow();
@@ -472,7 +581,7 @@
         return io::isSameFieldName(header.name, "Retry-After");
     });
     if (advice == RetryAdvice::Later)
-        response.headers.push_back({"Retry-After", retryAfter(hash())});
+        response.headers.push_back({"Retry-After", retryAfter(hash(), m_limitedFor)});
     m_writer->send(response);
     finish();
 }
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -5,6 +5,7 @@
 #include "connection/servercall.h"
 #include "forwardcontext.h"
 #include "platform/requestfields.h"
+#include "process/permit.h"
 #include "request/requestfingerprint.h"
 #include "version/routingconfig.h"
 
@@ -44,6 +45,14 @@
     void handleQuarantineChange();
 
 private:
+    /** Permission to send this request to a server that names a limit. */
+    struct Permit
+    {
+        ServerName server;
+        Instant validFrom;
+        Instant validUntil;
+    };
+
     bool resolveRoute();
     bool admitKey();
     void readBody();
@@ -54,6 +63,11 @@
     void recordLostAttempt(CrashWatch::Loss loss);
     void recordCrashEvidence(int status);
     void enqueue(Instant notBefore);
+    bool hasPermit(const ServerName &server, Instant now) const;
+    Duration maxPermitWait(const ServerRecord &server, Instant now) const;
+    void queryPermit(const ServerRecord &server);
+    void handlePermit(const PermitAnswer &answer, Instant namedAt, Duration maxWait);
+    void recordLimit(const io::HttpResponse &response, bool wasRun);
     Instant recordChoice();
     void logAttemptTimes(const io::CallTimes &times);
     void handleAttemptResult(const io::HttpResult &result);
@@ -107,6 +121,9 @@
     /** The server may have left, by that data, so the times of the attempt are logged. */
     bool m_isChoiceLogged = false;
     std::optional<io::ServerClient::CallId> m_call;
+    std::optional<Permit> m_permit;
+    /** Time after which a server will have room again, as stated with a refused permit. */
+    Duration m_limitedFor{};
     /** Runs that were known, when the request was sent, to have crashed during it. */
     std::vector<ServerName> m_crashedBefore;
     /** The answer of a server that failed, returned if no other attempt succeeds. */
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -87,6 +87,17 @@
     m_context.crashHandlers = std::move(handlers);
 }
 
+void ForwardWorker::setPermitHandler(PermitHandler handler)
+{
+    m_context.permits = std::move(handler);
+}
+
+void ForwardWorker::handlePermit(const PermitAnswer &answer,
+                                 std::function<void(const PermitAnswer &)> handler)
+{
+    asio::post(m_loop, [answer, handler = std::move(handler)] { handler(answer); });
+}
+
 void ForwardWorker::drain()
 {
     asio::post(m_loop, [this] { m_callers->drain(); });
--- a/src/libbulrushentry/forwardworker.h
+++ b/src/libbulrushentry/forwardworker.h
@@ -59,6 +59,16 @@
     /** Sets handlers, called on the traffic thread, for crashes. \pre start() was not called */
     void setCrashHandlers(CrashHandlers handlers);
 
+    /**
+     * Sets the handler, called on the traffic thread, for queries of permits. It has to pass each
+     * answer to handlePermit(). \pre start() was not called
+     */
+    void setPermitHandler(PermitHandler handler);
+
+    /** Passes \a answer to \a handler on the traffic thread. Thread safe. */
+    void handlePermit(const PermitAnswer &answer,
+                      std::function<void(const PermitAnswer &)> handler);
+
     /** Makes each later answer close its connection. Thread safe. */
     void drain();
 
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -154,6 +154,16 @@
     return hosts;
 }
 
+std::vector<Renewer> KeyControl::daemons() const
+{
+    std::vector<Renewer> daemons;
+    for (const auto &[host, renewer] : m_coordinator.renewers().renewers()) {
+        if (!renewer.removedSince)
+            daemons.push_back(renewer);
+    }
+    return daemons;
+}
+
 RenewerAnswer KeyControl::answer(const io::RenewalQuery &question)
 {
     const Instant now = io::hostNow();
--- a/src/libbulrushentry/keycontrol.h
+++ b/src/libbulrushentry/keycontrol.h
@@ -60,6 +60,9 @@
     /** \returns the hosts whose daemons have rows. */
     std::vector<HostName> hosts() const;
 
+    /** \returns the daemons that have rows. */
+    std::vector<Renewer> daemons() const;
+
     /** Applies the assignment in a planner's question, if any. \returns the answer to it. */
     RenewerAnswer answer(const io::RenewalQuery &question);
 
--- a/src/libbulrushentry/peerpaths.h
+++ b/src/libbulrushentry/peerpaths.h
@@ -7,6 +7,7 @@
 /** Paths of the messages between daemons. */
 constexpr std::string_view loadsPath = "/loads";
 constexpr std::string_view grantsPath = "/grants";
+constexpr std::string_view permitsPath = "/permits";
 /** Followed by the name of a table and the version of the rows that the requesting daemon has. */
 constexpr std::string_view rowsPath = "/rows/";
 /**
--- a/src/libbulrushentry/peerservice.cpp
+++ b/src/libbulrushentry/peerservice.cpp
@@ -4,6 +4,7 @@
 #include "connection/wholebody.h"
 #include "peerpaths.h"
 #include "process/hostclock.h"
+#include "process/permitcodec.h"
 #include "version/loadsamplecodec.h"
 #include "version/renewalcodec.h"
 
@@ -22,9 +23,10 @@
 
 } // namespace
 
-PeerService::PeerService(KeyControl &keys, StatePublisher &state, io::LoopTimers &timers,
-                         FollowerGroup &group, const LinkBudget &link)
+PeerService::PeerService(KeyControl &keys, PermitControl &permits, StatePublisher &state,
+                         io::LoopTimers &timers, FollowerGroup &group, const LinkBudget &link)
     : m_keys(keys)
+    , m_permits(permits)
     , m_state(state)
     , m_admission(link)
     , m_feed(timers, group, m_admission)
@@ -62,6 +64,8 @@
         return handleLoads(body);
     if (target == grantsPath)
         return answerQuestion(body);
+    if (target == permitsPath)
+        return answerPermitQuery(body);
     if (target.starts_with(rowsPath))
         return answerRows(target);
     return io::plainTextResponse(notFound, "nothing is known here by that path\n");
@@ -114,4 +118,12 @@
     return jsonPage(io::encodeRenewalAnswer(m_keys.answer(*question)));
 }
 
+io::HttpResponse PeerService::answerPermitQuery(const std::string &body)
+{
+    const auto query = io::decodePermitQuery(body);
+    if (!query)
+        return io::plainTextResponse(badRequest, "body: not a query for a permit\n");
+    return jsonPage(io::encodePermitAnswer(m_permits.answer(*query)));
+}
+
 } // namespace bulrush
--- a/src/libbulrushentry/peerservice.h
+++ b/src/libbulrushentry/peerservice.h
@@ -2,6 +2,7 @@
 
 #include "connection/callerserver.h"
 #include "keycontrol.h"
+#include "permitcontrol.h"
 #include "rowsadmission.h"
 #include "rowsfeed.h"
 #include "statepublisher.h"
@@ -15,8 +16,9 @@
 namespace bulrush {
 
 /**
- * Answers the messages of other daemons: load reports, a planner's questions, and requests for rows
- * of the store by daemons that can't reach it or that follow them through this one.
+ * Answers the messages of other daemons: load reports, a planner's questions, queries for permits,
+ * and requests for rows of the store by daemons that can't reach it or that follow them through
+ * this one.
  *
  * Used on the control thread.
  */
@@ -24,8 +26,8 @@
 {
 public:
     /** \pre all but \a link outlive this object */
-    PeerService(KeyControl &keys, StatePublisher &state, io::LoopTimers &timers,
-                FollowerGroup &group, const LinkBudget &link);
+    PeerService(KeyControl &keys, PermitControl &permits, StatePublisher &state,
+                io::LoopTimers &timers, FollowerGroup &group, const LinkBudget &link);
 
     /** Listens on \a address. \returns TransportError::ListenFailed if it can't be used. */
     std::error_code listen(asio::io_context &loop, const Endpoint &address);
@@ -46,8 +48,10 @@
     const TableFollower *follower(std::string_view table) const;
     io::HttpResponse handleLoads(const std::string &body);
     io::HttpResponse answerQuestion(const std::string &body);
+    io::HttpResponse answerPermitQuery(const std::string &body);
 
     KeyControl &m_keys;
+    PermitControl &m_permits;
     StatePublisher &m_state;
     RowsAdmission m_admission;
     RowsFeed m_feed;
--- a/tests/entryfleet/test_entrylimits.cpp
+++ b/tests/entryfleet/test_entrylimits.cpp
@@ -117,6 +117,9 @@
     const auto namedAt = Clock::now();
     sendFor(noticePeriod);
     const Served later = sendFor(8s);
+    BOOST_TEST_MESSAGE("reads " << later.reads << ", failed " << later.failedReads << ", payments "
+                                << later.payments << ", failed " << later.failedPayments);
+    BOOST_TEST_MESSAGE("most in a window: " << mostInWindow(owner, namedAt + noticePeriod));
     BOOST_TEST(mostInWindow(owner, namedAt + noticePeriod) <= allowedInWindow(2.5));
     BOOST_TEST(mostInWindow(owner, namedAt + noticePeriod) > 0);
     // The planner has moved keys to the other owners.
@@ -130,6 +133,9 @@
     const auto namedAt = Clock::now();
     sendFor(noticePeriod);
     const Served later = sendFor(8s);
+    BOOST_TEST_MESSAGE("reads " << later.reads << ", failed " << later.failedReads << ", payments "
+                                << later.payments << ", failed " << later.failedPayments);
+    BOOST_TEST_MESSAGE("most in a window: " << mostInWindow("p1", namedAt + noticePeriod));
     BOOST_TEST(mostInWindow("p1", namedAt + noticePeriod) <= allowedInWindow(1.5));
     BOOST_TEST(mostInWindow("p1", namedAt + noticePeriod) > 0);
     BOOST_TEST(later.failedPayments == 0);
--- a/tests/loadworld/loadsimulation.cpp
+++ b/tests/loadworld/loadsimulation.cpp
@@ -44,7 +44,8 @@
 {
     ServerGauges gauges;
     SlowStart slowStart;
-    ServerPicker picker{gauges, slowStart, DomainName{"a"}};
+    ServerLimits limits;
+    ServerPicker picker{{gauges, slowStart, limits}, DomainName{"a"}};
     RequestQueue queue{picker};
     KeyGate gate;
     std::map<std::uint64_t, Request> open;
--- a/tests/requestqueue/test_requestqueue.cpp
+++ b/tests/requestqueue/test_requestqueue.cpp
@@ -29,7 +29,8 @@
     RoutingState state;
     ServerGauges gauges;
     SlowStart slowStart;
-    ServerPicker picker{gauges, slowStart, DomainName{"a"}};
+    ServerLimits limits;
+    ServerPicker picker{{gauges, slowStart, limits}, DomainName{"a"}};
     RequestQueue queue{picker};
     std::uint64_t nextTicket = 1;
 
@@ -380,3 +381,41 @@
     queue.add(request(plain, start + 5s));
     BOOST_TEST(dispatch(start + 5s).at(2) == "p1");
 }
+
+BOOST_FIXTURE_TEST_CASE(requestWithoutAPermitIsRefusedAtOnceWhileNoneCanBeHad, Fixture)
+{
+    limits.recordAnswer(ServerName{"c1"}, RateLimit{5.0}, true, start, start);
+    limits.close(ServerName{"c1"}, start + 300ms);
+    queue.add(keyedRequest(1, start));
+    queue.add(keyedRequest(1000, start));
+    WaitingRequest withPermit = keyedRequest(2, start);
+    withPermit.permitted = ServerName{"c1"};
+    queue.add(withPermit);
+    std::map<std::uint64_t, GiveUpReason> givenUpReasons;
+    const auto sent = dispatch(start, &givenUpReasons);
+    BOOST_TEST((givenUpReasons.at(1) == GiveUpReason::Limited));
+    BOOST_TEST(sent.at(2) == "c2");
+    BOOST_TEST(sent.at(3) == "c1");
+    queue.add(keyedRequest(1, start + 300ms));
+    BOOST_TEST(dispatch(start + 300ms).at(4) == "c1");
+}
+
+BOOST_FIXTURE_TEST_CASE(otherServersAreUsedInPlaceOfLimitedOnes, Fixture)
+{
+    limits.recordAnswer(ServerName{"p1"}, RateLimit{5.0}, true, start, start);
+    limits.close(ServerName{"p1"}, start + 1s);
+    queue.add(request(plain, start));
+    BOOST_TEST(dispatch(start).at(1) == "p2");
+    // The permit is for a server that would not be chosen otherwise.
+    limits.close(ServerName{"p1"}, start + 1s);
+    WaitingRequest withPermit = request(plain, start);
+    withPermit.permitted = ServerName{"p1"};
+    queue.add(withPermit);
+    BOOST_TEST(dispatch(start).at(2) == "p1");
+    limits.recordAnswer(ServerName{"p2"}, RateLimit{5.0}, true, start, start);
+    limits.close(ServerName{"p2"}, start + 1s);
+    queue.add(request(plain, start));
+    std::map<std::uint64_t, GiveUpReason> givenUpReasons;
+    dispatch(start, &givenUpReasons);
+    BOOST_TEST((givenUpReasons.at(3) == GiveUpReason::Limited));
+}
