Plan keys by the limits that servers name

With permits alone a server that names a limit keeps its keys, and callers of these keys wait or are refused: the planner knew the speed of a server and not its limit. Daemons report limits, and their ends, with their loads; the planner gives a server keys for half of its limit at most, so that no request has to wait and answers still tell when the limit ends. A limit that no daemon has heard of for 10 s is ignored by the planner only: a server without keys gets no requests, and could not state the end.

--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -380,13 +380,14 @@
         const Duration time =
             load == m_loads.end() ? ServiceLoad::defaultWorkTime : load->second.workTime(id);
         double capacity = server.record.slots / std::chrono::duration<double>(time).count();
+        const auto limit = load == m_loads.end() ? std::nullopt : load->second.limitOf(id, now);
         if (server.coldRate > 0.0 && server.isCold(now - warmNoticePeriod)) {
-            cold.push_back({id, std::min(capacity, server.coldRate)});
+            cold.push_back({id, std::min(capacity, server.coldRate), limit});
             continue;
         }
         if (server.record.coldRemaining > Duration::zero())
             capacity *= coldCapacityFactor;
-        ready.push_back({id, capacity});
+        ready.push_back({id, capacity, limit});
     }
     const auto total = static_cast<double>(ready.size() + cold.size());
     if (static_cast<double>(cold.size()) > maxExcludedColdFraction * total)
--- a/src/libbulrush/process/serverlimits.cpp
+++ b/src/libbulrush/process/serverlimits.cpp
@@ -1,6 +1,7 @@
 #include "process/serverlimits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrush {
 
@@ -11,7 +12,7 @@
         return applyRate(server, rate->perSecond, sentAt, now);
     if (std::holds_alternative<UnreadableLimit>(statement))
         return LimitChange::Unreadable;
-    return wasRun ? applyAbsence(server, sentAt) : LimitChange::None;
+    return wasRun ? applyAbsence(server, sentAt, now) : LimitChange::None;
 }
 
 void ServerLimits::applyEnd(const ServerName &server, Instant namedAt)
@@ -34,6 +35,18 @@
     return limit == m_limits.end() ? nullptr : &limit->second;
 }
 
+std::vector<LimitReport> ServerLimits::takeReports(Instant now)
+{
+    std::vector<LimitReport> reports;
+    for (const auto &[server, limit] : m_limits)
+        reports.push_back({server, limit.perSecond, now - limit.namedAt});
+    for (const auto &[server, endedAt] : std::exchange(m_endedAt, {})) {
+        if (!m_limits.contains(server))
+            reports.push_back({server, std::nullopt, now - endedAt});
+    }
+    return reports;
+}
+
 void ServerLimits::remove(const ServerName &server)
 {
     m_limits.erase(server);
@@ -54,12 +67,13 @@
     return hasChanged ? LimitChange::Changed : LimitChange::None;
 }
 
-LimitChange ServerLimits::applyAbsence(const ServerName &server, Instant sentAt)
+LimitChange ServerLimits::applyAbsence(const ServerName &server, Instant sentAt, Instant now)
 {
     const auto limit = m_limits.find(server);
     if (limit == m_limits.end() || sentAt < limit->second.namedAt)
         return LimitChange::None;
     m_limits.erase(limit);
+    m_endedAt[server] = now;
     return LimitChange::Ended;
 }
 
--- a/src/libbulrush/process/serverlimits.h
+++ b/src/libbulrush/process/serverlimits.h
@@ -3,8 +3,10 @@
 #include "process/clock.h"
 #include "process/serverlimit.h"
 #include "version/identifier.h"
+#include "version/serviceload.h"
 
 #include <map>
+#include <vector>
 
 namespace bulrush {
 
@@ -62,14 +64,22 @@
     /** \returns all limits. */
     const std::map<ServerName, KnownLimit> &limits() const;
 
+    /**
+     * \returns what each server last stated, for servers that name a limit, and for those whose
+     * limit has ended since the last call.
+     */
+    std::vector<LimitReport> takeReports(Instant now);
+
     /** Removes the limit of \a server, whose run has ended. */
     void remove(const ServerName &server);
 
 private:
     LimitChange applyRate(const ServerName &server, double perSecond, Instant sentAt, Instant now);
-    LimitChange applyAbsence(const ServerName &server, Instant sentAt);
+    LimitChange applyAbsence(const ServerName &server, Instant sentAt, Instant now);
 
     std::map<ServerName, KnownLimit> m_limits;
+    /** When limits ended that were not reported as ended yet. */
+    std::map<ServerName, Instant> m_endedAt;
 };
 
 inline const std::map<ServerName, KnownLimit> &ServerLimits::limits() const
--- a/src/libbulrush/version/keyadmission.cpp
+++ b/src/libbulrush/version/keyadmission.cpp
@@ -40,7 +40,7 @@
         return result;
     std::map<ServerName, Demand> demands;
     for (const KeyServer &server : servers)
-        demands[server.id].capacity = server.capacity;
+        demands[server.id].capacity = server.usableCapacity();
     for (const OwnedRange &owned : assignment.ranges) {
         const auto demand = demands.find(owned.owner);
         if (demand != demands.end())
--- a/src/libbulrush/version/keyplanner.cpp
+++ b/src/libbulrush/version/keyplanner.cpp
@@ -26,12 +26,14 @@
     struct Share
     {
         double capacity = 1.0;
+        /** The load that it should have. */
+        double target = 0.0;
         double load = 0.0;
         std::size_t ranges = 0;
     };
 
     double loadOf(const KeyRange &range) const;
-    double targetOf(const Share &share) const;
+    void setTargets(std::span<const KeyServer> servers);
     void fillGaps();
     void replaceLostOwners();
     void balance();
@@ -55,7 +57,6 @@
     /** Overloaded servers from which no range could be moved in this round. */
     std::set<ServerName> m_unrelievable;
     double m_totalLoad = 0.0;
-    double m_totalCapacity = 0.0;
     bool m_hasChanged = false;
 };
 
@@ -68,8 +69,7 @@
 {
     m_next.sequence = current.sequence + 1;
     for (const KeyServer &server : servers) {
-        m_shares[server.id].capacity = std::max(minCapacity, server.capacity);
-        m_totalCapacity += m_shares[server.id].capacity;
+        m_shares[server.id].capacity = std::max(minCapacity, server.usableCapacity());
     }
     for (const OwnedRange &owned : current.ranges) {
         const auto share = m_shares.find(owned.owner);
@@ -79,6 +79,7 @@
         ++share->second.ranges;
     }
     m_totalLoad = loadOf({0, keyPositionCount - 1});
+    setTargets(servers);
 }
 
 std::optional<KeyAssignment> Round::run()
@@ -101,9 +102,36 @@
         + KeyPlanner::baselineLoad * static_cast<double>(range.size()) / keyPositionCount;
 }
 
-double Round::targetOf(const Share &share) const
+/**
+ * Divides the load by capacity. Servers that name a limit get no more than a part of it, and the
+ * others the rest.
+ */
+void Round::setTargets(std::span<const KeyServer> servers)
 {
-    return m_totalLoad * share.capacity / m_totalCapacity;
+    double capacity = 0.0;
+    double usableCapacity = 0.0;
+    for (const KeyServer &server : servers) {
+        capacity += std::max(minCapacity, server.capacity);
+        usableCapacity += m_shares[server.id].capacity;
+    }
+    double unlimitedCapacity = 0.0;
+    double remainingLoad = m_totalLoad;
+    for (const KeyServer &server : servers) {
+        if (!server.limit) {
+            unlimitedCapacity += m_shares[server.id].capacity;
+            continue;
+        }
+        const double byCapacity = m_totalLoad * server.capacity / capacity;
+        m_shares[server.id].target = std::min(byCapacity, KeyPlanner::limitFill * *server.limit);
+        remainingLoad -= m_shares[server.id].target;
+    }
+    for (const KeyServer &server : servers) {
+        Share &share = m_shares[server.id];
+        if (unlimitedCapacity == 0.0)
+            share.target = m_totalLoad * share.capacity / usableCapacity;
+        else if (!server.limit)
+            share.target = remainingLoad * share.capacity / unlimitedCapacity;
+    }
 }
 
 /** Adds ranges with an empty owner where keys are not assigned. */
@@ -148,7 +176,7 @@
     for (;;) {
         const ServerName server = mostUnderloaded({});
         Share &share = m_shares[server];
-        const double spareLoad = std::max(targetOf(share) - share.load, minPieceLoad);
+        const double spareLoad = std::max(share.target - share.load, minPieceLoad);
         OwnedRange piece = rest;
         const KeyPosition size = prefixSize(rest.range, spareLoad);
         const bool isLast = size >= rest.range.size();
@@ -187,7 +215,7 @@
 ServerName Round::mostUnderloaded(const ServerName &except) const
 {
     const auto need = [this](const auto &entry) {
-        return targetOf(entry.second) - entry.second.load;
+        return entry.second.target - entry.second.load;
     };
     const auto best = std::ranges::max_element(m_shares, [&](const auto &left, const auto &right) {
         const bool isLeftOut = left.first == except;
@@ -251,7 +279,7 @@
         return false;
     const ServerName from = mostLoaded();
     const double wanted =
-        std::min(KeyPlanner::newServerFill * targetOf(newServer->second), m_shares[from].load / 2);
+        std::min(KeyPlanner::newServerFill * newServer->second.target, m_shares[from].load / 2);
     return from != newServer->first && moveFrom(from, wanted, newServer->first);
 }
 
@@ -264,7 +292,7 @@
             continue;
         const Share &share = m_shares[owned.owner];
         const double load = loadOf(owned.range);
-        if (load < KeyPlanner::overloadFactor * targetOf(share))
+        if (load < KeyPlanner::overloadFactor * share.target)
             continue;
         const auto fastest = std::ranges::max_element(
             m_shares, {}, [](const auto &entry) { return entry.second.capacity; });
@@ -281,7 +309,7 @@
 /** \returns whether \a share significantly exceeds its target on a busy server. */
 bool Round::isOverloaded(const Share &share) const
 {
-    const double target = targetOf(share);
+    const double target = share.target;
     const double deviation = std::sqrt(share.load / m_countedSeconds);
     return share.load >= KeyPlanner::overloadFactor * target
         && share.load >= KeyPlanner::busyFraction * share.capacity
@@ -296,8 +324,8 @@
         if (!isOverloaded(most))
             return false;
         const ServerName to = mostUnderloaded(from);
-        const double spareLoad = targetOf(m_shares[to]) - m_shares[to].load;
-        const double wanted = std::min(most.load - targetOf(most), spareLoad);
+        const double spareLoad = m_shares[to].target - m_shares[to].load;
+        const double wanted = std::min(most.load - most.target, spareLoad);
         if (wanted > 0.0 && moveFrom(from, wanted, to))
             return true;
         // Its load may come from a single key, for example; continue with the other servers.
--- a/src/libbulrush/version/keyplanner.h
+++ b/src/libbulrush/version/keyplanner.h
@@ -3,6 +3,7 @@
 #include "version/keyassignment.h"
 #include "version/keyloads.h"
 
+#include <algorithm>
 #include <optional>
 #include <span>
 #include <vector>
@@ -13,14 +14,26 @@
 struct KeyServer
 {
     ServerName id;
-    /** Requests per second that it can serve. */
+    /** Requests per second that it can serve while it names no limit. */
     double capacity = 1.0;
+    /** Requests per second that it takes, if it names a limit. */
+    std::optional<double> limit = std::nullopt;
+
+    /** \returns the requests per second that it can serve now. */
+    double usableCapacity() const;
 };
 
+inline double KeyServer::usableCapacity() const
+{
+    return limit ? std::min(capacity, *limit) : capacity;
+}
+
 /**
  * Decides which server owns which keys of a service. Every key gets an owner that is ready, and no
- * server gets much more load than its share, which is proportional to its capacity. Few keys move,
- * and the number of ranges stays low, as each costs a call at every renewal.
+ * server gets much more load than its share, which is proportional to its capacity. The share of a
+ * server that names a limit is a part of its limit: enough requests to hear when the limit ends,
+ * and few enough that none has to wait. Few keys move, and the number of ranges stays low, as each
+ * costs a call at every renewal.
  *
  * Stateless and thread safe.
  */
@@ -46,6 +59,8 @@
      * useless while it waits for another server to become overloaded.
      */
     static constexpr double newServerFill = 0.6;
+    /** Maximum share of a server that names a limit, as a fraction of the limit. */
+    static constexpr double limitFill = 0.5;
     /** A key that alone overloads its owner moves to a server that is faster by this factor. */
     static constexpr double hotKeySpeedup = 1.25;
     /** A range is not divided into pieces smaller than this fraction of a share. */
--- a/src/libbulrush/version/serviceload.cpp
+++ b/src/libbulrush/version/serviceload.cpp
@@ -30,6 +30,8 @@
         m_steady.add(place, now);
         m_spikes.add(place, now);
     }
+    for (const LimitReport &report : sample.limits)
+        addLimit(report, now);
     for (const ServerWork &work : sample.work) {
         Speed &speed = m_speeds[work.server];
         const auto count = static_cast<double>(work.count);
@@ -41,6 +43,22 @@
     }
 }
 
+void ServiceLoad::addLimit(const LimitReport &report, Instant now)
+{
+    const Instant statedAt = now - report.statedAgo;
+    const auto [limit, isNew] = m_limits.try_emplace(report.server, report.perSecond, statedAt);
+    if (!isNew && statedAt >= limit->second.statedAt)
+        limit->second = {report.perSecond, statedAt};
+}
+
+std::optional<double> ServiceLoad::limitOf(const ServerName &server, Instant now) const
+{
+    const auto limit = m_limits.find(server);
+    if (limit == m_limits.end() || now - limit->second.statedAt > limitValidity)
+        return std::nullopt;
+    return limit->second.perSecond;
+}
+
 KeyTraffic ServiceLoad::traffic(Instant now)
 {
     std::vector<double> rates = m_steady.rates(now);
--- a/src/libbulrush/version/serviceload.h
+++ b/src/libbulrush/version/serviceload.h
@@ -20,6 +20,18 @@
     bool operator==(const ServerWork &) const = default;
 };
 
+/** What a server last stated about its limit, as a daemon reports it. */
+struct LimitReport
+{
+    ServerName server;
+    /** Requests per second that it takes from all daemons together; nothing if it has no limit. */
+    std::optional<double> perSecond;
+    /** Age of the answer in which the server stated this. */
+    Duration statedAgo{};
+
+    bool operator==(const LimitReport &) const = default;
+};
+
 /** Measurements of a service that is divided by key, by a daemon since its last report. */
 struct LoadSample
 {
@@ -29,6 +41,7 @@
     std::vector<ServerWork> work;
     /** Servers at whose address another server answered. */
     std::vector<ServerName> ended;
+    std::vector<LimitReport> limits = {};
 
     bool operator==(const LoadSample &) const = default;
 };
@@ -50,6 +63,11 @@
     static constexpr double hotRate = 3.0;
     /** Assumed service time while there are no measurements. */
     static constexpr Duration defaultWorkTime = std::chrono::milliseconds{200};
+    /**
+     * A limit that no daemon has heard of for this long is ignored, because a server without keys
+     * gets no requests and thus cannot state that its limit has ended.
+     */
+    static constexpr Duration limitValidity = std::chrono::seconds{10};
 
     explicit ServiceLoad(Instant start);
 
@@ -64,6 +82,9 @@
      */
     Duration workTime(const ServerName &server) const;
 
+    /** \returns the requests per second that \a server takes, if it names a limit. */
+    std::optional<double> limitOf(const ServerName &server, Instant now) const;
+
 private:
     struct Speed
     {
@@ -71,11 +92,20 @@
         double weight = 0.0;
     };
 
+    /** The latest statement of a server about its limit. */
+    struct Limit
+    {
+        std::optional<double> perSecond;
+        Instant statedAt;
+    };
+
     double meanTime() const;
+    void addLimit(const LimitReport &report, Instant now);
 
     KeyLoads m_steady;
     KeyLoads m_spikes;
     std::map<ServerName, Speed> m_speeds;
+    std::map<ServerName, Limit> m_limits;
 };
 
 } // namespace bulrush
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -164,7 +164,7 @@
 {
     std::map<ServiceName, LoadSample> samples;
     for (auto &[service, keys] : std::exchange(m_context.requestedKeys, {}))
-        samples[service] = {service, std::move(keys), {}, {}};
+        samples[service] = {service, std::move(keys), {}, {}, {}};
     for (ServerWork &work : m_context.gauges.takeWork()) {
         const std::optional<ServiceName> service = keyedServiceOf(work.server);
         if (service) {
@@ -173,6 +173,14 @@
             sample.work.push_back(std::move(work));
         }
     }
+    for (LimitReport &report : m_context.limits.takeReports(io::hostNow())) {
+        const std::optional<ServiceName> service = keyedServiceOf(report.server);
+        if (service) {
+            LoadSample &sample = samples[*service];
+            sample.service = *service;
+            sample.limits.push_back(std::move(report));
+        }
+    }
     for (auto &[service, servers] : std::exchange(m_context.stoppedServers, {})) {
         samples[service].service = service;
         samples[service].ended.assign(servers.begin(), servers.end());
--- a/src/libbulrushio/process/permitcodec.cpp
+++ b/src/libbulrushio/process/permitcodec.cpp
@@ -1,11 +1,11 @@
 #include "process/permitcodec.h"
 
 #include "process/jsonreader.h"
+#include "process/limitvalue.h"
 
 #include <json/value.h>
 
 #include <array>
-#include <cmath>
 #include <utility>
 
 namespace bulrush::io {
@@ -65,11 +65,8 @@
         return std::nullopt;
     if (!json.isMember("perSecond"))
         return query;
-    const Json::Value &limit = json["perSecond"];
-    if (!limit.isNumeric() || !std::isfinite(limit.asDouble()) || limit.asDouble() < 0.0)
-        return std::nullopt;
-    query.perSecond = limit.asDouble();
-    return query;
+    query.perSecond = limitValue(json["perSecond"]);
+    return query.perSecond ? std::optional{query} : std::nullopt;
 }
 
 std::string encodePermitAnswer(const PermitAnswer &answer)
--- a/src/libbulrushio/version/loadsamplecodec.cpp
+++ b/src/libbulrushio/version/loadsamplecodec.cpp
@@ -1,6 +1,7 @@
 #include "version/loadsamplecodec.h"
 
 #include "process/jsonreader.h"
+#include "process/limitvalue.h"
 #include "process/scalartype.h"
 #include "process/servernamelist.h"
 
@@ -25,6 +26,16 @@
     return json;
 }
 
+Json::Value jsonOf(const LimitReport &report)
+{
+    Json::Value json;
+    json["server"] = report.server.value();
+    if (report.perSecond)
+        json["perSecond"] = *report.perSecond;
+    json["statedAgo"] = io::jsonOf(report.statedAgo);
+    return json;
+}
+
 Json::Value jsonOf(const LoadSample &sample)
 {
     Json::Value keys{Json::arrayValue};
@@ -38,6 +49,8 @@
     json["keys"] = std::move(keys);
     json["work"] = std::move(work);
     json["ended"] = io::jsonOf(sample.ended);
+    for (const LimitReport &report : sample.limits)
+        json["limits"].append(jsonOf(report));
     return json;
 }
 
@@ -54,6 +67,20 @@
     return work;
 }
 
+std::optional<LimitReport> decodeLimit(const Json::Value &json)
+{
+    JsonReader reader{json};
+    LimitReport report;
+    report.server = ServerName{reader.text("server")};
+    report.statedAgo = reader.span("statedAgo");
+    if (!reader.isValid() || report.statedAgo < Duration::zero())
+        return std::nullopt;
+    if (!json.isMember("perSecond"))
+        return report;
+    report.perSecond = limitValue(json["perSecond"]);
+    return report.perSecond ? std::optional{report} : std::nullopt;
+}
+
 std::optional<LoadSample> decodeSample(const Json::Value &json)
 {
     JsonReader reader{json};
@@ -71,6 +98,14 @@
         sample.work.push_back(std::move(*work));
     }
     sample.ended = readServerNames(reader, "ended");
+    // Daemons of older versions, and those that know no limits, send none.
+    const Json::Value noLimits{Json::arrayValue};
+    for (const Json::Value &entry : json.isMember("limits") ? reader.list("limits") : noLimits) {
+        std::optional<LimitReport> report = decodeLimit(entry);
+        if (!report)
+            return std::nullopt;
+        sample.limits.push_back(std::move(*report));
+    }
     if (!reader.isValid())
         return std::nullopt;
     return sample;
--- a/tests/keydecisions/test_keyplanner.cpp
+++ b/tests/keydecisions/test_keyplanner.cpp
@@ -236,3 +236,45 @@
     BOOST_TEST(assignment.find(15)->range.last == 19U);
     BOOST_TEST(assignment.find(40) == nullptr);
 }
+
+BOOST_AUTO_TEST_CASE(serverThatNamesALimitKeepsKeysForAPartOfIt)
+{
+    constexpr double limit = 5.0;
+    std::vector<KeyServer> all = servers(19, 35.0);
+    for (const double rate : {20.0, 270.0}) {
+        const KeyTraffic load = traffic(rate);
+        const KeyAssignment before = balanced(evenly(19), all, load);
+        all[3].limit = limit;
+        const KeyAssignment after = balanced(before, all, load);
+        const double share = shares(after, load)["s3"];
+        BOOST_TEST(share < limit, rate);
+        BOOST_TEST(share > 0.0, rate);
+        all[3].limit.reset();
+        // A limit above what the server gets anyway moves nothing.
+        all[4].limit = 500.0;
+        BOOST_TEST(!KeyPlanner::plan(before, all, load).has_value(), rate);
+        all[4].limit.reset();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(keysAreDividedByTheLimitsIfAllServersNameOne)
+{
+    std::vector<KeyServer> all = servers(4, 35.0);
+    const KeyTraffic load = traffic(100.0);
+    const KeyAssignment before = balanced(evenly(4), all, load);
+    all[0].limit = 2.0;
+    for (std::size_t i = 1; i < all.size(); ++i)
+        all[i].limit = 6.0;
+    const KeyAssignment after = balanced(before, all, load);
+    BOOST_TEST(shares(after, load)["s0"] < 0.6 * shares(after, load)["s1"]);
+}
+
+BOOST_AUTO_TEST_CASE(serverWithALimitOfZeroLosesNearlyAllKeys)
+{
+    std::vector<KeyServer> all = servers(4, 35.0);
+    const KeyTraffic load = traffic(60.0);
+    const KeyAssignment before = balanced(evenly(4), all, load);
+    all[0].limit = 0.0;
+    const KeyAssignment after = balanced(before, all, load);
+    BOOST_TEST(shares(after, load)["s0"] < 1.0);
+}
