Show limits and issued permits to operators; wait for permits if all servers name limits

/limits and metrics show the limits that a daemon knows, what it sent, and what it issued for all in 4 s. A request without a key waits for its permit if no server of its service is without a limit. The primary issues also the permits of 0.2 s at once, so that a burst is not refused; the backup a third of the limit, which keeps both together within the bound.

--- a/src/libbulrush/process/permitissuer.cpp
+++ b/src/libbulrush/process/permitissuer.cpp
@@ -9,7 +9,6 @@
 
 constexpr std::size_t primaryRank = 0;
 constexpr std::size_t backupRank = 1;
-constexpr double backupBurst = 1.0;
 
 Duration scaled(Duration duration, double factor)
 {
@@ -49,13 +48,17 @@
     const Duration interval = intervalOf(*server.perSecond, role);
     if (role == IssuerRole::None)
         return {PermitOutcome::Refused, interval};
-    const double burst = role == IssuerRole::Primary ? primaryBurst : backupBurst;
-    const Duration tolerance = scaled(interval, burst - 1.0);
+    const Duration tolerance = role == IssuerRole::Primary
+        ? scaled(interval, primaryBurst - 1.0) + burstSpan
+        : Duration::zero();
     const Duration wait = std::max(Duration::zero(), server.nextDue - tolerance - now);
     if (wait > query.maxWait)
         return {PermitOutcome::Refused, wait};
     server.nextDue = std::max(server.nextDue, now) + interval;
     ++m_grantedCount;
+    server.recent.push_back(now + wait);
+    while (server.recent.front() < now - recentPeriod)
+        server.recent.pop_front();
     return {PermitOutcome::Granted, wait};
 }
 
@@ -75,6 +78,18 @@
                          / rateOf(*query.perSecond, IssuerRole::Primary));
 }
 
+std::vector<IssuedPermits> PermitIssuer::issued(Instant now) const
+{
+    std::vector<IssuedPermits> all;
+    for (const auto &[id, server] : m_servers) {
+        const auto recent = std::ranges::count_if(server.recent, [now](Instant validFrom) {
+            return validFrom > now - recentPeriod && validFrom <= now;
+        });
+        all.push_back({id, server.perSecond, static_cast<std::size_t>(recent)});
+    }
+    return all;
+}
+
 void PermitIssuer::removeIdle(Instant now)
 {
     std::erase_if(m_servers, [now](const auto &entry) {
--- a/src/libbulrush/process/permitissuer.h
+++ b/src/libbulrush/process/permitissuer.h
@@ -6,11 +6,23 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace bulrush {
 
+/** The permits that a daemon has issued lately for one server. */
+struct IssuedPermits
+{
+    ServerName server;
+    /** The limit in force; nothing if it has ended. */
+    std::optional<double> perSecond;
+    /** Permits that became valid within PermitIssuer::recentPeriod. */
+    std::size_t recentCount = 0;
+};
+
 /**
  * Issues the permits for requests to servers that name a limit, to all daemons. Each server has a
  * primary issuer, so that its limit is counted in one place, and a backup. Some daemons may query
@@ -28,14 +40,20 @@
 public:
     /** Parts of the limit that the primary and the backup issue. */
     static constexpr double primaryFraction = 0.95;
-    static constexpr double backupFraction = 0.45;
-    /** Number of permits that the primary issues at once after a pause; the backup issues one. */
+    static constexpr double backupFraction = 1.0 / 3;
+    /**
+     * Number of permits that the primary issues at once after a pause, in addition to those of
+     * burstSpan; the backup issues one.
+     */
     static constexpr double primaryBurst = 2.0;
+    static constexpr Duration burstSpan = std::chrono::milliseconds{200};
     /**
      * Lower bound of the rate, in permits per second: only answers to requests show that a limit
      * has ended.
      */
     static constexpr double minRate = 0.25;
+    /** Period over which permits are counted for operators. */
+    static constexpr Duration recentPeriod = std::chrono::seconds{4};
     /** State of servers that nobody asks for is removed after this time. */
     static constexpr Duration idleRetention = std::chrono::minutes{1};
 
@@ -51,6 +69,9 @@
     /** \returns the number of permits granted for all servers. */
     std::uint64_t grantedCount() const;
 
+    /** \returns the permits of each server that names a limit, or did so within idleRetention. */
+    std::vector<IssuedPermits> issued(Instant now) const;
+
     /** Removes the state of servers that nobody has asked for lately. */
     void removeIdle(Instant now);
 
@@ -64,6 +85,8 @@
         /** When the next permit would be due if permits were issued evenly. */
         Instant nextDue;
         Instant lastQuery;
+        /** When the permits issued lately became or become valid, in order. */
+        std::deque<Instant> recent;
     };
 
     void applyStatement(Server &server, const PermitQuery &query, Instant now);
--- a/src/libbulrush/process/serverlimits.cpp
+++ b/src/libbulrush/process/serverlimits.cpp
@@ -15,6 +15,15 @@
     return wasRun ? applyAbsence(server, sentAt, now) : LimitChange::None;
 }
 
+bool ServerLimits::recordSend(const ServerName &server)
+{
+    const auto limit = m_limits.find(server);
+    if (limit == m_limits.end())
+        return false;
+    ++limit->second.sentCount;
+    return true;
+}
+
 void ServerLimits::applyEnd(const ServerName &server, Instant namedAt)
 {
     const auto limit = m_limits.find(server);
@@ -55,7 +64,7 @@
 LimitChange ServerLimits::applyRate(const ServerName &server, double perSecond, Instant sentAt,
                                     Instant now)
 {
-    const auto [limit, isNew] = m_limits.try_emplace(server, KnownLimit{perSecond, now, now, {}});
+    const auto [limit, isNew] = m_limits.try_emplace(server, KnownLimit{perSecond, now, now});
     if (isNew)
         return LimitChange::Named;
     KnownLimit &known = limit->second;
--- a/src/libbulrush/process/serverlimits.h
+++ b/src/libbulrush/process/serverlimits.h
@@ -5,6 +5,7 @@
 #include "version/identifier.h"
 #include "version/serviceload.h"
 
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -21,6 +22,8 @@
     Instant namedAt;
     /** Until then this daemon does not query a permit for the server. */
     Instant closedUntil = {};
+    /** Requests that this daemon has sent to the server since then. */
+    std::uint64_t sentCount = 0;
 };
 
 /** What an answer changed about a server's limit. */
@@ -52,6 +55,9 @@
     LimitChange recordAnswer(const ServerName &server, const LimitStatement &statement, bool wasRun,
                              Instant sentAt, Instant now);
 
+    /** Counts a request that is sent to \a server. \returns whether the server names a limit. */
+    bool recordSend(const ServerName &server);
+
     /** Applies that \a server had no limit any more at some time after \a namedAt. */
     void applyEnd(const ServerName &server, Instant namedAt);
 
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -73,7 +73,7 @@
     , m_peerService(m_keys, m_permits, m_state, m_timers, m_followers,
                     LinkBudget{m_settings.linkMegabits})
     , m_pages({m_loop, m_settings, m_counters, m_storeCalls, m_peerService, m_worker, m_state,
-               m_keys, m_crashes},
+               m_keys, m_crashes, m_permits},
               [this] { return isReady(); })
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
 { }
--- a/src/libbulrushentry/entrypages.cpp
+++ b/src/libbulrushentry/entrypages.cpp
@@ -23,6 +23,8 @@
 
 /** The page of evacuations and the servers that they concern, as JSON. */
 constexpr std::string_view evacuationsPath = "/evacuations";
+/** The page of the limits that servers name. */
+constexpr std::string_view limitsPath = "/limits";
 /** The page of requests during which servers crashed, for operators. */
 constexpr std::string_view quarantinePath = "/quarantine";
 /** Followed by the fingerprint of the request to admit again. */
@@ -60,13 +62,15 @@
         writer->send(io::plainTextResponse(ok, statusText()));
     else if (target == evacuationsPath)
         answerEvacuations(writer);
+    else if (target == limitsPath)
+        answerLimits(writer);
     else if (target == quarantinePath)
         writer->send(io::plainTextResponse(ok, m_sources.crashes.page()));
     else if (target.starts_with(liftPath))
         writer->send(lift(request));
     else
         writer->send(io::plainTextResponse(
-            notFound, "pages: /readyz, /metrics, /status, /evacuations, /quarantine\n"));
+            notFound, "pages: /readyz, /metrics, /status, /evacuations, /limits, /quarantine\n"));
 }
 
 /** Answers with the evacuations and the use of the servers, for `bulrushctl evacuation`. */
@@ -83,12 +87,38 @@
     });
 }
 
+/** Answers with the limits that this daemon knows, and the permits that it has issued. */
+void EntryPages::answerLimits(const std::shared_ptr<io::ResponseWriter> &writer)
+{
+    m_sources.worker.collectLimits([this, writer](std::map<ServerName, KnownLimit> limits) {
+        asio::post(m_sources.loop, [this, writer, limits = std::move(limits)] {
+            writer->send(io::plainTextResponse(ok, limitsText(limits)));
+        });
+    });
+}
+
+std::string EntryPages::limitsText(const std::map<ServerName, KnownLimit> &limits) const
+{
+    const Instant now = io::hostNow();
+    std::string text;
+    for (const auto &[server, limit] : limits)
+        text += "limit: " + server.value() + " per-second=" + std::to_string(limit.perSecond)
+            + " since-ms=" + io::millisecondsText(now - limit.since)
+            + " named-ms-ago=" + io::millisecondsText(now - limit.namedAt)
+            + " sent=" + std::to_string(limit.sentCount) + '\n';
+    for (const IssuedPermits &permits : m_sources.permits.issued(now))
+        text += "issued: " + permits.server.value()
+            + " per-second=" + (permits.perSecond ? std::to_string(*permits.perSecond) : "none")
+            + " in-4s=" + std::to_string(permits.recentCount) + '\n';
+    return text;
+}
+
 std::string EntryPages::metricsText() const
 {
     return m_sources.counters.text() + m_sources.storeCalls.text()
-        + m_sources.peerService.servedText() + "bulrush_log_lines_dropped_total "
-        + std::to_string(io::droppedLogLineCount()) + "\nbulrush_open_requests "
-        + std::to_string(m_sources.worker.openCount()) + '\n'
+        + m_sources.peerService.servedText() + m_sources.permits.metricsText()
+        + "bulrush_log_lines_dropped_total " + std::to_string(io::droppedLogLineCount())
+        + "\nbulrush_open_requests " + std::to_string(m_sources.worker.openCount()) + '\n'
         + m_sources.state.configMetrics(io::hostNow()) + "bulrush_planning "
         + (m_sources.keys.isPlanning() ? "1" : "0") + "\nbulrush_store_reached "
         + (m_sources.keys.isStoreReached() ? "1" : "0") + "\nbulrush_rows_followed "
--- a/src/libbulrushentry/entrypages.h
+++ b/src/libbulrushentry/entrypages.h
@@ -7,6 +7,7 @@
 #include "forwardworker.h"
 #include "keycontrol.h"
 #include "peerservice.h"
+#include "permitcontrol.h"
 #include "process/entrysettings.h"
 #include "statepublisher.h"
 #include "storecalls.h"
@@ -14,6 +15,7 @@
 #include <asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -21,7 +23,7 @@
 
 /**
  * The pages of an entry daemon for operators and the load balancer: readiness, metrics, status,
- * evacuations and quarantine.
+ * evacuations, quarantine and limits of servers.
  *
  * Used on the control thread.
  */
@@ -41,6 +43,7 @@
         const StatePublisher &state;
         const KeyControl &keys;
         CrashControl &crashes;
+        const PermitControl &permits;
     };
 
     /** \a isReady tells whether callers may be sent here. \pre the sources outlive this object */
@@ -55,6 +58,8 @@
 
 private:
     void answerEvacuations(const std::shared_ptr<io::ResponseWriter> &writer);
+    void answerLimits(const std::shared_ptr<io::ResponseWriter> &writer);
+    std::string limitsText(const std::map<ServerName, KnownLimit> &limits) const;
     io::HttpResponse lift(const io::IncomingRequest &request);
     std::string metricsText() const;
     std::string statusText() const;
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -46,6 +46,8 @@
 constexpr Duration permitValidity = std::chrono::milliseconds{300};
 /** Queries of this daemon for permits are this far apart, at most, while they are refused. */
 constexpr Duration maxPermitPause = std::chrono::seconds{10};
+/** Divides that pause if no server of the service takes requests without a permit. */
+constexpr int allLimitedPauseDivisor = 4;
 /** Reason for refusing a request whose server takes no more of them now. */
 constexpr std::string_view limitedReason = "server-limited";
 /** Reason for refusing a suspect request while a probe finds out whether it crashes servers. */
@@ -263,7 +265,7 @@
     const auto crashedBefore = m_context.quarantine->crashedServers(*m_fingerprint);
     m_crashedBefore.assign(crashedBefore.begin(), crashedBefore.end());
     m_context.counters.add(EntryCounter::AttemptsSent);
-    if (m_context.limits.find(m_server))
+    if (m_context.limits.recordSend(m_server))
         m_context.counters.add(EntryCounter::AttemptsToLimited);
     if (m_attempts > 1)
         m_context.counters.add(EntryCounter::AttemptsRepeated);
@@ -303,14 +305,23 @@
 /** \returns the longest time that the request should wait for a permit of \a server. */
 Duration ForwardExchange::maxPermitWait(const ServerRecord &server, Instant now) const
 {
-    // Other servers of the service can take the request.
-    if (!m_isDividedByKey)
+    // Servers without a limit can take the request at once.
+    if (!m_isDividedByKey && !haveAllServersLimits())
         return Duration::zero();
     const Instant onTimeUntil = std::min(m_startedAt + m_route->targetLatency, m_answerBy);
     return std::max(Duration::zero(),
                     onTimeUntil - now - m_context.gauges.expectedLatency(server, now));
 }
 
+/** \returns whether all servers of the service that may get requests name limits. */
+bool ForwardExchange::haveAllServersLimits() const
+{
+    const auto &servers = m_context.state->serversOf(m_service);
+    return std::ranges::all_of(servers, [this](const KnownServer &server) {
+        return !server.isReady() || m_context.limits.find(server.record.id);
+    });
+}
+
 /** Queries a permit to send the request to \a server, which names a limit. */
 void ForwardExchange::queryPermit(const ServerRecord &server)
 {
@@ -318,7 +329,7 @@
     const KnownLimit &limit = *m_context.limits.find(server.id);
     m_permit.reset();
     m_server = server.id;
-    if (!m_isDividedByKey)
+    if (!m_isDividedByKey && !haveAllServersLimits())
         m_context.limits.close(server.id, now + permitPause(limit, 1));
     m_context.counters.add(EntryCounter::PermitsQueried);
     const PermitQuery query{server.id, server.domain, limit.perSecond, now - limit.namedAt,
@@ -343,6 +354,8 @@
     }
     if (answer.outcome == PermitOutcome::LimitEnded) {
         m_context.limits.applyEnd(m_server, namedAt);
+        io::logEvent(LogLevel::Info, "server-limit-ended",
+                     {{"server", m_server.value()}, {"source", "issuer"}});
         enqueue(now);
         return;
     }
@@ -354,8 +367,10 @@
         return;
     }
     if (const KnownLimit *limit = m_context.limits.find(m_server)) {
-        const Duration pause = permitPause(*limit, m_context.state->daemonCount);
-        m_context.limits.close(m_server, now + std::max(answer.wait, pause));
+        Duration pause = permitPause(*limit, m_context.state->daemonCount);
+        if (haveAllServersLimits())
+            pause /= allLimitedPauseDivisor;
+        m_context.limits.close(m_server, now + std::max(answer.wait - maxWait, pause));
     }
     m_tried.push_back(m_server);
     enqueue(now);
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -65,6 +65,7 @@
     void enqueue(Instant notBefore);
     bool hasPermit(const ServerName &server, Instant now) const;
     Duration maxPermitWait(const ServerRecord &server, Instant now) const;
+    bool haveAllServersLimits() const;
     void queryPermit(const ServerRecord &server);
     void handlePermit(const PermitAnswer &answer, Instant namedAt, Duration maxWait);
     void recordLimit(const io::HttpResponse &response, bool wasRun);
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -128,6 +128,12 @@
     });
 }
 
+void ForwardWorker::collectLimits(LimitsHandler handler)
+{
+    asio::post(m_loop,
+               [this, handler = std::move(handler)] { handler(m_context.limits.limits()); });
+}
+
 void ForwardWorker::stop()
 {
     if (!m_thread.joinable())
--- a/src/libbulrushentry/forwardworker.h
+++ b/src/libbulrushentry/forwardworker.h
@@ -11,6 +11,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <system_error>
@@ -86,6 +87,11 @@
     /** Passes the use of the backend servers to \a handler, on the traffic thread. Thread safe. */
     void collectServiceUse(ServiceUseHandler handler);
 
+    using LimitsHandler = std::function<void(std::map<ServerName, KnownLimit>)>;
+
+    /** Passes the known limits of servers to \a handler, on the traffic thread. Thread safe. */
+    void collectLimits(LimitsHandler handler);
+
     /** \returns how many requests have no answer yet. Thread safe. */
     std::size_t openCount() const;
 
--- a/src/libbulrushentry/permitcontrol.cpp
+++ b/src/libbulrushentry/permitcontrol.cpp
@@ -53,7 +53,22 @@
 
 std::string PermitControl::metricsText() const
 {
-    return "bulrush_permits_issued_total " + std::to_string(m_issuer.grantedCount()) + '\n';
+    std::string text =
+        "bulrush_permits_issued_total " + std::to_string(m_issuer.grantedCount()) + '\n';
+    for (const IssuedPermits &permits : issued(io::hostNow())) {
+        const std::string label = "{server=\"" + permits.server.value() + "\"} ";
+        text +=
+            "bulrush_permits_issued_recently" + label + std::to_string(permits.recentCount) + '\n';
+        if (permits.perSecond)
+            text += "bulrush_server_limit_per_second" + label + std::to_string(*permits.perSecond)
+                + '\n';
+    }
+    return text;
+}
+
+std::vector<IssuedPermits> PermitControl::issued(Instant now) const
+{
+    return m_issuer.issued(now);
 }
 
 void PermitControl::advance(Instant now)
--- a/src/libbulrushentry/permitcontrol.h
+++ b/src/libbulrushentry/permitcontrol.h
@@ -44,6 +44,9 @@
     /** \returns the answer to the query of another daemon. */
     PermitAnswer answer(const PermitQuery &query);
 
+    /** \returns the permits that this daemon has issued lately. */
+    std::vector<IssuedPermits> issued(Instant now) const;
+
     /** \returns lines for a metrics page: the permits that this daemon has issued. */
     std::string metricsText() const;
 
--- a/tests/entryfleet/test_entrylimits.cpp
+++ b/tests/entryfleet/test_entrylimits.cpp
@@ -154,6 +154,26 @@
     BOOST_TEST(later.failedPayments == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(operatorsSeeLimitsAndTheSumOfWhatAllDaemonsMaySend, LimitedFleet)
+{
+    nameLimit("p1", "1.5");
+    sendFor(3s);
+    std::string issued;
+    int knowing = 0;
+    for (const std::string &host : hosts) {
+        const std::string text = page(host, "/limits");
+        knowing += text.find("limit: p1 per-second=1.5") != std::string::npos ? 1 : 0;
+        if (text.find("issued: p1 per-second=1.5") != std::string::npos)
+            issued += host;
+    }
+    // Daemons of the other domain use the server of their own.
+    BOOST_TEST(knowing == 3);
+    // One daemon of the server's domain issues all permits.
+    BOOST_TEST(issued.size() == 2U, issued);
+    BOOST_TEST(issued.starts_with("a"), issued);
+    BOOST_TEST(counter(issued, "bulrush_permits_issued_total") > 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(limitEndsWithTheFirstAnswerThatNamesNone, LimitedFleet)
 {
     const std::string owner = busiestOwner();
--- a/tests/loadworld/loadsimulation.h
+++ b/tests/loadworld/loadsimulation.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "process/permitissuer.h"
 #include "process/servergauges.h"
+#include "process/serverlimits.h"
 #include "request/requestqueue.h"
 #include "version/keyadmission.h"
 #include "version/keyplanner.h"
@@ -44,6 +46,13 @@
     bool ignoresDaemonCount = false;
     /** Whether the planner sends shares of hot keys to the daemons. */
     bool hasShares = true;
+    /** Slots of each server. */
+    std::uint32_t slots = 3;
+    /** Number of servers that name a limit in the limited period, and the limit per second. */
+    std::size_t limitedServers = 0;
+    double limit = 0.0;
+    Duration limitedFrom{};
+    Duration limitedUntil = Duration::max();
 };
 
 /** Results from the callers' point of view. */
@@ -54,6 +63,12 @@
     int late = 0;
     int rejectedByServers = 0;
     int arrivals = 0;
+    /** Requests that were given up because no permit could be had. */
+    int refusedByLimit = 0;
+    /** Most requests that a limited server got in 4 s, once the limit had been known for 3 s. */
+    std::size_t mostInLimitedWindow = 0;
+    /** How often all keys have moved. */
+    double movedKeys = 0.0;
 
     /** \returns the value of the answers relative to that of all answers on time. */
     double relativeValue() const;
@@ -83,6 +98,14 @@
         Instant answerBy;
         int attempts = 0;
         bool isRetry = false;
+        /** The server for which it has a permit. */
+        ServerName permitted = {};
+    };
+    /** A request that needs a permit to be sent to a server. */
+    struct PermitWait
+    {
+        std::uint64_t ticket = 0;
+        ServerName server;
     };
     struct Work
     {
@@ -96,6 +119,9 @@
         double slowness = 1.0;
         std::vector<Work> running;
         std::deque<Work> waiting;
+        bool isLimited = false;
+        /** Arrivals while it names a limit. */
+        std::deque<Instant> arrivals;
     };
     struct Daemon;
     struct Retry
@@ -111,6 +137,10 @@
     KeyPosition drawKey();
     void dispatch(Daemon &daemon, std::size_t index);
     void send(std::size_t daemon, std::uint64_t ticket, const ServerName &server);
+    void queryPermit(Daemon &daemon, const PermitWait &wait);
+    void enqueue(Daemon &daemon, std::uint64_t ticket, Instant notBefore);
+    bool namesLimit(const Server &server) const;
+    void countArrival(Server &server);
     void refuse(Daemon &daemon, std::uint64_t ticket);
     void advanceServers();
     void finish(const ServerName &server, const Work &work);
@@ -133,6 +163,8 @@
     Instant m_moveEndsAt = Instant::max();
     ServiceLoad m_load;
     std::size_t m_plannedServers = 0;
+    /** Issues permits without delay. */
+    PermitIssuer m_issuer;
     std::vector<Retry> m_callerRetries;
     LoadResult m_result;
 };
