Leave twice the expected latency after the wait for a permit

Half of all requests take longer than the mean, so that half of those that wait as long as the mean permits are late.

--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -309,8 +309,9 @@
     if (!m_isDividedByKey && !haveAllServersLimits())
         return Duration::zero();
     const Instant onTimeUntil = std::min(m_startedAt + m_route->targetLatency, m_answerBy);
-    return std::max(Duration::zero(),
-                    onTimeUntil - now - m_context.gauges.expectedLatency(server, now));
+    // Half of all requests take longer than the mean.
+    const Duration latency = 2 * m_context.gauges.expectedLatency(server, now);
+    return std::max(Duration::zero(), onTimeUntil - now - latency);
 }
 
 /** \returns whether all servers of the service that may get requests name limits. */
--- a/tests/loadworld/loadsimulation.cpp
+++ b/tests/loadworld/loadsimulation.cpp
@@ -195,10 +195,12 @@
 {
     Request &request = daemon.open.at(wait.ticket);
     const KnownLimit &limit = *daemon.limits.find(wait.server);
-    const Duration maxWait = std::max(
-        Duration::zero(),
-        request.startedAt + m_scenario.targetLatency - m_now
-            - daemon.gauges.expectedLatency(m_state.server(service, wait.server)->record, m_now));
+    const Duration maxWait =
+        std::max(Duration::zero(),
+                 request.startedAt + m_scenario.targetLatency - m_now
+                     - 2
+                         * daemon.gauges.expectedLatency(
+                             m_state.server(service, wait.server)->record, m_now));
     const PermitAnswer answer = m_issuer.answer(
         {wait.server, DomainName{"a"}, limit.perSecond, m_now - limit.namedAt, maxWait},
         IssuerRole::Primary, m_now);
