--- a/src/libbulrush/version/keyplanner.cpp
+++ b/src/libbulrush/version/keyplanner.cpp
@@ -219,7 +219,7 @@
 
 ServerName Round::mostUnderloaded(const ServerName &except) const
 {
-    const auto need = [this](const auto &entry) {
+    const auto need = [](const auto &entry) {
         return entry.second.target - entry.second.load;
     };
     const auto best = std::ranges::max_element(m_shares, [&](const auto &left, const auto &right) {
--- a/src/libbulrush/version/serviceload.cpp
+++ b/src/libbulrush/version/serviceload.cpp
@@ -46,7 +46,8 @@
 void ServiceLoad::addLimit(const LimitReport &report, Instant now)
 {
     const Instant statedAt = now - report.statedAgo;
-    const auto [limit, isNew] = m_limits.try_emplace(report.server, report.perSecond, statedAt);
+    const auto [limit, isNew] =
+        m_limits.try_emplace(report.server, Limit{report.perSecond, statedAt});
     if (!isNew && statedAt >= limit->second.statedAt)
         limit->second = {report.perSecond, statedAt};
 }
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -472,8 +472,7 @@
         returnAnswer(response);
 }
 
-/** Applies what an answer states about the server's limit, and reports it if the limit has ended.
- */
+/** Applies what an answer states about the server's limit, and reports the end of a limit. */
 void ForwardExchange::recordLimit(const io::HttpResponse &response, bool wasRun)
 {
     const LimitStatement statement = platform::limitStatement(response.headers);
