Spread the keys of test_entrylimits evenly, and wait until each daemon has heard the end

Traced: the test asked for 16 positions of keys, so that the load came in lumps of 2.3 requests per second; where the planner leaves a part of a limit of 2.5, it can leave only a lump or nothing. The end of a limit is heard by each daemon with its next request, which takes up to its pause: the test waits for all, 20 s at most, and then asks that no permit is queried any more, as before.

--- a/tests/entryfleet/test_entrylimits.cpp
+++ b/tests/entryfleet/test_entrylimits.cpp
@@ -23,6 +23,11 @@
 /** Time after a server first names its limit from which the limit binds. */
 constexpr auto noticePeriod = 3s;
 constexpr auto window = 4s;
+/** Daemons with little demand for a server ask for a permit at most this much later. */
+constexpr auto maxEndDelay = 20s;
+constexpr int keyCount = 65'536;
+/** Spreads successive requests evenly over all keys, so that the planner can divide the load. */
+constexpr int keyStep = 40'503;
 
 /** \returns how many requests a server with \a limit may get in any window. */
 std::ptrdiff_t allowedInWindow(double limit)
@@ -63,7 +68,7 @@
         const auto end = Clock::now() + span;
         for (; Clock::now() < end; ++m_sent) {
             const std::string &host = hosts[static_cast<std::size_t>(m_sent) % hosts.size()];
-            const int key = m_sent * 4099 % 65'536;
+            const int key = m_sent * keyStep % keyCount;
             const bool isRead =
                 send(host, "GET", "/read/" + std::to_string(key), key).status == 200;
             const bool isPaid = send(host, "POST", "/pay/x", std::nullopt, "x").status == 200;
@@ -92,6 +97,14 @@
         return most;
     }
 
+    /** \returns whether any daemon knows of a server that names a limit. */
+    bool isAnyLimitKnown()
+    {
+        return std::ranges::any_of(hosts, [this](const std::string &host) {
+            return page(host, "/limits").find("limit: ") != std::string::npos;
+        });
+    }
+
     /** \returns how many permits all daemons have asked for. */
     std::int64_t permitsQueried()
     {
@@ -107,7 +120,7 @@
         constexpr int sampleSize = 32;
         std::map<std::string, int> owned;
         for (int i = 0; i < sampleSize; ++i)
-            ++owned[ownerOf(hosts.front(), i * (65'536 / sampleSize))];
+            ++owned[ownerOf(hosts.front(), i * (keyCount / sampleSize))];
         return std::ranges::max_element(owned, {}, [](const auto &entry) { return entry.second; })
             ->first;
     }
@@ -182,7 +195,13 @@
     sendFor(4s);
     nameLimit(owner, "");
     nameLimit("p1", "");
-    sendFor(8s);
+    const auto endedAt = Clock::now();
+    // Each daemon learns it with its next request to the server.
+    BOOST_TEST(eventually([this] {
+        sendFor(500ms);
+        return !isAnyLimitKnown();
+    }));
+    BOOST_TEST((Clock::now() - endedAt < maxEndDelay));
     const auto since = Clock::now();
     const std::int64_t queriedBefore = permitsQueried();
     const Served later = sendFor(window);
