--- a/tests/entryfleet/limitedfleet.h
+++ b/tests/entryfleet/limitedfleet.h
@@ -19,8 +19,10 @@
 inline constexpr auto noticePeriod = 3s;
 inline constexpr auto window = 4s;
 inline constexpr int keyCount = 65'536;
-/** Spreads successive requests evenly over all keys, so that the planner can divide the load. */
-inline constexpr int keyStep = 40'503;
+/** Spreads successive requests evenly over all keys. */
+inline constexpr int evenKeyStep = 40'503;
+/** Keeps successive requests near 16 positions for some seconds. */
+inline constexpr int clusteredKeyStep = 4099;
 
 /** \returns how many requests a server with \a limit may get in any window. */
 inline std::ptrdiff_t allowedInWindow(double limit)
@@ -92,13 +94,13 @@
         return most;
     }
 
-    /** \returns how many permits all daemons have issued. */
-    std::int64_t permitsIssued()
+    /** \returns the sum of the metric \a name over all daemons. */
+    std::int64_t sumOf(const std::string &name)
     {
-        std::int64_t issued = 0;
+        std::int64_t sum = 0;
         for (const std::string &host : hosts)
-            issued += counter(host, "bulrush_permits_issued_total");
-        return issued;
+            sum += counter(host, name);
+        return sum;
     }
 
     /** \returns the server that owns most of a sample of the keys. */
@@ -113,6 +115,8 @@
     }
 
     std::vector<std::string> hosts{"a1", "a2", "a3", "b1", "b2", "b3"};
+    /** Distance between the keys of successive requests. */
+    int keyStep = evenKeyStep;
     int m_sent = 0;
 };
 
