Log and count when a host loses its paths to all servers

Decisions are unchanged. ServerReach counts the servers that fail one after the other with none reached in between; the loss and the return of paths are logged, and each request's line says which held.

--- /dev/null
+++ b/src/libbulrush/process/serverreach.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "process/clock.h"
+#include "version/identifier.h"
+
+#include <cstddef>
+#include <set>
+
+namespace bulrush {
+
+/**
+ * Determines whether a daemon has lost its paths to all backend servers. One server that can't be
+ * reached may have stopped; if several fail one after the other and none is reached in between, the
+ * cause is more likely at this daemon.
+ *
+ * Not thread safe. Instants never decrease.
+ */
+class ServerReach
+{
+public:
+    /** Failures at this many servers, or at all if there are fewer, mean that no path is left. */
+    static constexpr std::size_t failedServersThreshold = 3;
+
+    /** Sets how many servers there are. */
+    void setServerCount(std::size_t count);
+
+    /** Records that a server answered, or that a connection to one was established. */
+    void recordReached(Instant now);
+
+    /** Records that a connection to \a server failed or was lost, or that it did not answer. */
+    void recordFailure(const ServerName &server);
+
+    /** \returns whether no server can be reached from here. */
+    bool isOutOfReach() const;
+
+    /** \returns how many servers failed since one was last reached. */
+    std::size_t failedCount() const;
+
+    /** \returns the last instant at which a server was reached. */
+    Instant lastReached() const;
+
+private:
+    std::size_t m_serverCount = 0;
+    /** Servers that failed since any server was last reached. */
+    std::set<ServerName> m_failed;
+    Instant m_lastReached;
+};
+
+inline std::size_t ServerReach::failedCount() const
+{
+    return m_failed.size();
+}
+
+inline Instant ServerReach::lastReached() const
+{
+    return m_lastReached;
+}
+
+} // namespace bulrush
--- a/src/libbulrushentry/entrycounters.h
+++ b/src/libbulrushentry/entrycounters.h
@@ -27,7 +27,8 @@
     PermitsQueried,    ///< for requests to servers that name limits
     PermitsRefused,
     ConnectionsOpened,
-    Count, ///< number of counters
+    ServersOutOfReach, ///< times at which all paths to servers were lost
+    Count,             ///< number of counters
 };
 
 /** Counts and latencies of one daemon. Thread safe. */
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -35,6 +35,14 @@
     return "server-limit-ended";
 }
 
+std::size_t serverCount(const RoutingState &state)
+{
+    std::size_t count = 0;
+    for (const auto &[service, servers] : state.servers)
+        count += servers.size();
+    return count;
+}
+
 std::string textOf(const LimitStatement &statement)
 {
     if (const auto *limit = std::get_if<RateLimit>(&statement))
@@ -49,7 +57,7 @@
 ForwardContext::ForwardContext(asio::io_context &ownLoop, const EntrySettings &settings,
                                EntryCounters &ownCounters)
     : loop(ownLoop)
-    , servers(ownLoop)
+    , servers(ownLoop, settings.outgoing.address)
     , timers(ownLoop)
     , counters(ownCounters)
     , picker({gauges, slowStart, limits}, settings.domain,
@@ -70,6 +78,7 @@
     if (state && published->routes && state->routes != published->routes)
         logRoutes(*published);
     state = std::move(published);
+    reach.setServerCount(serverCount(*state));
     retries.setDaemonCount(state->daemonCount);
     gauges.setDaemonCount(state->daemonCount);
     removeStaleLimits();
@@ -130,7 +139,13 @@
 void ForwardContext::handleConnectionEvent(const std::string &run,
                                            io::ServerClient::ConnectionEvent event)
 {
+    if (run.empty())
+        return; // the connection is to another daemon
     const ServerName server{run};
+    if (event == io::ServerClient::ConnectionEvent::Connected)
+        recordServerReached();
+    else
+        recordServerFailure(server);
     if (event == io::ServerClient::ConnectionEvent::Refused)
         recordServerStopped(server, "refused");
     if (event != io::ServerClient::ConnectionEvent::Lost)
@@ -192,6 +207,28 @@
     return change;
 }
 
+void ForwardContext::recordServerReached()
+{
+    const Instant now = io::hostNow();
+    if (reach.isOutOfReach())
+        io::logEvent(LogLevel::Warning, "servers-reached",
+                     {{"after-ms", io::millisecondsText(now - reach.lastReached())}});
+    reach.recordReached(now);
+}
+
+void ForwardContext::recordServerFailure(const ServerName &server)
+{
+    const bool wasOutOfReach = reach.isOutOfReach();
+    reach.recordFailure(server);
+    if (wasOutOfReach || !reach.isOutOfReach())
+        return;
+    counters.add(EntryCounter::ServersOutOfReach);
+    io::logEvent(LogLevel::Warning, "servers-out-of-reach",
+                 {{"failed", std::to_string(reach.failedCount())},
+                  {"server", server.value()},
+                  {"reached-ms-ago", io::millisecondsText(io::hostNow() - reach.lastReached())}});
+}
+
 void ForwardContext::logUnknownFields(const ServerName &server,
                                       std::span<const std::string_view> names)
 {
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -12,6 +12,7 @@
 #include "process/routingstate.h"
 #include "process/servergauges.h"
 #include "process/serverlimits.h"
+#include "process/serverreach.h"
 #include "process/slowstart.h"
 #include "request/requestqueue.h"
 #include "version/keyadmission.h"
@@ -60,6 +61,7 @@
     ServerGauges gauges;
     SlowStart slowStart;
     ServerLimits limits;
+    ServerReach reach;
     ServerPicker picker;
     RequestQueue queue;
     RetryBudgets retries;
@@ -106,6 +108,12 @@
     LimitChange recordLimit(const ServerName &server, const LimitStatement &statement, bool wasRun,
                             Instant sentAt);
 
+    /** Records that a server answered, or that a connection to one was established. */
+    void recordServerReached();
+
+    /** Records that \a server could not be reached, or did not answer. */
+    void recordServerFailure(const ServerName &server);
+
     /** Logs fields of a server's answer that this daemon does not know, each name once. */
     void logUnknownFields(const ServerName &server, std::span<const std::string_view> names);
 
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -65,6 +65,13 @@
     return text.data();
 }
 
+/** \returns whether a call that failed with \a error received nothing from its server. */
+bool isUnanswered(std::error_code error)
+{
+    return error == io::TransportError::ConnectionFailed
+        || error == io::TransportError::ConnectionLost || error == io::TransportError::TimedOut;
+}
+
 /** \returns the mean time between two permits of this daemon if all daemons have equal parts. */
 Duration permitPause(const KnownLimit &limit, std::size_t daemonCount)
 {
@@ -432,6 +439,7 @@
 {
     const Instant now = io::hostNow();
     const io::HttpResponse &response = result.response;
+    m_context.recordServerReached();
     const platform::AnswerMetadata terms =
         platform::answerMetadata(response.status, response.headers, m_server);
     const bool isFailure = response.status >= firstServerError && !terms.isNotRun;
@@ -489,6 +497,10 @@
 {
     const Instant now = io::hostNow();
     const bool isUnsent = result.stage == io::TransferStage::NotConnected;
+    if (isUnanswered(result.error))
+        m_context.recordServerFailure(m_server);
+    else
+        m_context.recordServerReached();
     m_context.gauges.attemptEnded(m_server,
                                   isUnsent ? AttemptOutcome::Unreached : AttemptOutcome::Silent,
                                   now - m_sentAt, std::nullopt, now);
@@ -636,8 +648,10 @@
     m_timeout.reset();
     if (m_isFinished)
         return;
-    if (m_call && m_context.servers.isSent(*m_call))
+    if (m_call && m_context.servers.isSent(*m_call)) {
         m_mayHaveRun = true;
+        m_context.recordServerFailure(m_server);
+    }
     refuse("time-is-up");
 }
 
@@ -687,6 +701,7 @@
                   {"moving", owned && owned->isMoving() ? "yes" : "no"},
                   {"assignment", std::to_string(assignment ? assignment->sequence : 0)},
                   {"server", m_server.value()},
+                  {"servers", m_context.reach.isOutOfReach() ? "out-of-reach" : "reached"},
                   {"server-limit", limit ? std::to_string(limit->perSecond) : "none"},
                   {"attempts", std::to_string(m_attempts)},
                   {"ms", io::millisecondsText(elapsed())},
