--- a/src/libbulrush/process/entrysettings.h
+++ b/src/libbulrush/process/entrysettings.h
@@ -25,6 +25,11 @@
     Endpoint operators;
     /** Second address for the operators' pages, with a fixed port; port 0 means none. */
     Endpoint metrics;
+    /**
+     * The address from which connections to servers, daemons and the store leave; if it is empty,
+     * the system chooses. Its port is not used.
+     */
+    Endpoint outgoing;
     /** The platform's metadata store. */
     Endpoint store;
     /** Time that a graceful shutdown gives to requests in flight. */
--- a/src/libbulrushio/connection/serverclient.cpp
+++ b/src/libbulrushio/connection/serverclient.cpp
@@ -76,8 +76,9 @@
     }
 };
 
-ServerClient::ServerClient(asio::io_context &loop)
+ServerClient::ServerClient(asio::io_context &loop, std::string source)
     : m_loop(loop)
+    , m_source(std::move(source))
     , m_pool(std::make_shared<Pool>())
 { }
 
@@ -154,11 +155,12 @@
 ConnectionPtr ServerClient::createConnection(const Endpoint &server, const std::string &run)
 {
     const std::weak_ptr<Pool> pool = m_pool;
-    auto connection = std::make_shared<ServerConnection>(m_loop, server, run,
-                                                         [pool](const ConnectionPtr &changed) {
-                                                             if (const auto held = pool.lock())
-                                                                 held->update(changed);
-                                                         });
+    const ServerConnection::Target target{server, run, m_source};
+    auto connection =
+        std::make_shared<ServerConnection>(m_loop, target, [pool](const ConnectionPtr &changed) {
+            if (const auto held = pool.lock())
+                held->update(changed);
+        });
     m_pool->all.insert(connection);
     ++m_openedCount;
     return connection;
--- a/src/libbulrushio/connection/serverclient.h
+++ b/src/libbulrushio/connection/serverclient.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace bulrush::io {
@@ -27,7 +28,8 @@
 public:
     using CallId = std::uint64_t;
 
-    explicit ServerClient(asio::io_context &loop);
+    /** Connections leave from the address \a source; if it is empty, the system chooses. */
+    explicit ServerClient(asio::io_context &loop, std::string source = {});
 
     /** Closes all connections; the handlers of open calls are not called. */
     ~ServerClient();
@@ -79,6 +81,7 @@
                                                        const std::string &run);
 
     asio::io_context &m_loop;
+    std::string m_source;
     std::shared_ptr<Pool> m_pool;
     std::map<CallId, std::weak_ptr<ServerConnection>> m_calls;
     CallId m_nextId = 1;
--- a/src/libbulrushio/connection/serverconnection.cpp
+++ b/src/libbulrushio/connection/serverconnection.cpp
@@ -9,6 +9,7 @@
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -56,13 +57,11 @@
 
 } // namespace
 
-ServerConnection::ServerConnection(asio::io_context &loop, Endpoint server, std::string run,
-                                   StateHandler stateHandler)
+ServerConnection::ServerConnection(asio::io_context &loop, Target target, StateHandler stateHandler)
     : m_loop(loop)
     , m_socket(loop)
     , m_timer(loop)
-    , m_server(std::move(server))
-    , m_run(std::move(run))
+    , m_target(std::move(target))
     , m_stateHandler(std::move(stateHandler))
     , m_parser(maxAnswerBodyBytes)
 { }
@@ -107,7 +106,7 @@
 void ServerConnection::connect()
 {
     asio::error_code error;
-    const asio::ip::address address = asio::ip::make_address(m_server.address, error);
+    const asio::ip::address address = asio::ip::make_address(m_target.server.address, error);
     if (error) {
         asio::post(m_loop, [self = shared_from_this()] {
             self->failCall(TransportError::ConnectionFailed);
@@ -115,11 +114,26 @@
         return;
     }
     startTimer(hostNow() + std::min(m_call.connectTimeout, m_call.timeout));
+    bindToSource();
     m_socket.async_connect(
-        {address, m_server.port},
+        {address, m_target.server.port},
         [self = shared_from_this()](asio::error_code failure) { self->handleConnected(failure); });
 }
 
+/** Binds the socket to the source address, if there is one; if that fails, so does the connection.
+ */
+void ServerConnection::bindToSource()
+{
+    if (m_target.source.empty())
+        return;
+    asio::error_code ignored;
+    const asio::ip::tcp::endpoint source{asio::ip::make_address(m_target.source, ignored), 0};
+    m_socket.open(source.protocol(), ignored);
+    // The port is chosen when connecting, so that connections to different servers can share it.
+    setSocketOption(m_socket, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1);
+    m_socket.bind(source, ignored);
+}
+
 void ServerConnection::handleConnected(std::error_code error)
 {
     if (m_isClosed || (!m_handler && !m_isOpening))
--- a/src/libbulrushio/connection/serverconnection.h
+++ b/src/libbulrushio/connection/serverconnection.h
@@ -26,9 +26,17 @@
     /** Called when the connection was established, became free, or was closed. */
     using StateHandler = std::function<void(const std::shared_ptr<ServerConnection> &)>;
 
-    /** \a run is the run of the server that the connection is for. */
-    ServerConnection(asio::io_context &loop, Endpoint server, std::string run,
-                     StateHandler stateHandler);
+    /** Where a connection leads. */
+    struct Target
+    {
+        Endpoint server;
+        /** The run of the server that the connection is for. */
+        std::string run;
+        /** The address that the connection leaves from; if it is empty, the system chooses. */
+        std::string source;
+    };
+
+    ServerConnection(asio::io_context &loop, Target target, StateHandler stateHandler);
 
     ServerConnection(const ServerConnection &) = delete;
     ServerConnection &operator=(const ServerConnection &) = delete;
@@ -78,6 +86,7 @@
 
 private:
     void connect();
+    void bindToSource();
     void handleConnected(std::error_code error);
     void setOptions();
     void write();
@@ -97,8 +106,7 @@
     asio::io_context &m_loop;
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
-    Endpoint m_server;
-    std::string m_run;
+    Target m_target;
     StateHandler m_stateHandler;
     AnswerParser m_parser;
     ServerCall m_call;
@@ -132,12 +140,12 @@
 
 inline const Endpoint &ServerConnection::server() const
 {
-    return m_server;
+    return m_target.server;
 }
 
 inline const std::string &ServerConnection::run() const
 {
-    return m_run;
+    return m_target.run;
 }
 
 inline bool ServerConnection::isFree() const
--- a/src/libbulrushio/process/entrysettingsreader.cpp
+++ b/src/libbulrushio/process/entrysettingsreader.cpp
@@ -22,6 +22,7 @@
     addresses->read("peers", endpoint(PortZero::Refused), settings.peers, Presence::Required);
     addresses->read("operators", address, settings.operators, Presence::Required);
     addresses->read("metrics", endpoint(PortZero::Refused), settings.metrics, Presence::Optional);
+    addresses->read("outgoing", address, settings.outgoing, Presence::Optional);
     addresses->finish();
 }
 
--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -159,17 +159,23 @@
 
 void EntryFleet::startDaemon(const std::string &host)
 {
-    const auto place = std::ranges::find(m_hosts, host);
-    const std::string ip = m_prefix + std::to_string(m_firstHost + (place - m_hosts.begin()));
+    const std::string ip = addressOf(host);
     const std::string path = m_folder + '/' + host + ".yaml";
     std::ofstream{path} << "host: " << host << "\ndomain: " << host.front() << "\nstore: \""
                         << m_store->address(host) << "\"\naddresses:\n"
                         << "  callers: \"" << ip << ":8080\"\n  peers: \"" << ip
-                        << ":8081\"\n  operators: \"" << ip << ":8082\"\n";
+                        << ":8081\"\n  operators: \"" << ip << ":8082\"\n"
+                        << "  outgoing: \"" << ip << ":0\"\n";
     m_daemons[host] = std::make_unique<ChildProcess>(binaryPath("bulrushswitchd"),
                                                      std::vector<std::string>{"--settings", path});
 }
 
+std::string EntryFleet::addressOf(const std::string &host) const
+{
+    const auto place = std::ranges::find(m_hosts, host);
+    return m_prefix + std::to_string(m_firstHost + (place - m_hosts.begin()));
+}
+
 void EntryFleet::startDaemons()
 {
     for (const std::string &host : m_hosts)
@@ -400,6 +406,17 @@
     m_http.post(server(id).address() + "/_control", json.toStyledString());
 }
 
+void EntryFleet::partition(const std::string &id, const std::vector<std::string> &hosts,
+                           Partition kind)
+{
+    Json::Value json;
+    json["partitionedFrom"] = Json::Value{Json::arrayValue};
+    for (const std::string &host : hosts)
+        json["partitionedFrom"].append(addressOf(host));
+    json["keepsOpenConnections"] = kind == Partition::NewConnections;
+    m_http.post(server(id).address() + "/_control", json.toStyledString());
+}
+
 void EntryFleet::delayOrders(const std::string &id, int count, std::chrono::milliseconds delay)
 {
     Json::Value json;
@@ -418,6 +435,13 @@
 SyncHttpResult EntryFleet::send(const std::string &host, const std::string &method,
                                 const std::string &path, std::optional<int> key,
                                 const std::string &body, int deadlineMs)
+{
+    return m_http.send(makeRequest(host, method, path, key, body, deadlineMs));
+}
+
+SyncHttpRequest EntryFleet::makeRequest(const std::string &host, const std::string &method,
+                                        const std::string &path, std::optional<int> key,
+                                        const std::string &body, int deadlineMs)
 {
     SyncHttpRequest request;
     request.method = method;
@@ -430,7 +454,7 @@
     };
     if (key)
         request.headers.push_back({"X-Bulrushswitch-Shard-Key", std::to_string(*key)});
-    return m_http.send(request);
+    return request;
 }
 
 SyncHttpResult EntryFleet::read(const std::string &host, int key)
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -5,6 +5,7 @@
 
 #include <json/value.h>
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -154,6 +155,17 @@
      */
     void nameLimit(const std::string &id, const std::string &limit);
 
+    /** Which connections between daemons and a server a partition affects. */
+    enum class Partition {
+        AllConnections,
+        NewConnections, ///< connections that are open already keep working
+    };
+
+    /** Partitions the daemons of \a hosts, and no others, from the server; their packets are lost.
+     */
+    void partition(const std::string &id, const std::vector<std::string> &hosts,
+                   Partition kind = Partition::AllConnections);
+
     /** \returns the value of the metric \a name of \a host's daemon, or -1 if there is none. */
     std::int64_t counter(const std::string &host, const std::string &name);
 
@@ -162,6 +174,11 @@
                         int deadlineMs = 4000);
     SyncHttpResult read(const std::string &host, int key);
 
+    /** \returns the request that send() sends, with a new id. May be called by several threads. */
+    SyncHttpRequest makeRequest(const std::string &host, const std::string &method,
+                                const std::string &path, std::optional<int> key,
+                                const std::string &body, int deadlineMs);
+
     /** \returns the id of the most recent request. */
     std::string lastRequestId() const;
 
@@ -199,6 +216,7 @@
     static bool eventually(const std::function<bool()> &condition);
 
 private:
+    std::string addressOf(const std::string &host) const;
     void removeRow(const std::string &table, const std::string &key);
     Json::Value control(const Json::Value &json);
     Json::Value recordOf(ChildProcess &server);
@@ -216,7 +234,7 @@
     double m_coldRate = 0.0;
     std::chrono::milliseconds m_coldDuration{0};
     int m_version = 0;
-    int m_nextRequest = 1;
+    std::atomic<int> m_nextRequest{1};
     SyncHttpClient m_http;
 };
 
--- a/tests/standins/keyed/keyedserver.cpp
+++ b/tests/standins/keyed/keyedserver.cpp
@@ -1,6 +1,7 @@
 #include "keyed/keyedserver.h"
 
 #include "http/json.h"
+#include "http/sourcefilter.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -322,6 +323,18 @@
     }
     m_ordersToDelay = json["lateOrders"].asInt();
     m_orderDelay = std::chrono::milliseconds{json["lateMs"].asInt()};
+    if (json.isMember("partitionedFrom"))
+        setPartition(json["partitionedFrom"], json["keepsOpenConnections"].asBool());
+}
+
+void KeyedServer::setPartition(const Json::Value &sources, bool keepsOpenConnections)
+{
+    std::vector<std::string> addresses;
+    for (const Json::Value &source : sources)
+        addresses.push_back(source.asString());
+    partitionFrom(addresses, parsedEndpoint(address()).port,
+                  keepsOpenConnections ? PartitionScope::NewConnections
+                                       : PartitionScope::AllConnections);
 }
 
 Json::Value KeyedServer::stateJson() const
--- a/tests/standins/keyed/keyedserver.h
+++ b/tests/standins/keyed/keyedserver.h
@@ -60,7 +60,8 @@
  * of keys with fencing tokens, and confirms a release once no request for its keys is running any
  * more. `GET /_control` lists the requests that were executed; `POST /_control` sets how many
  * answers are faulty and in which way, how many orders (grants and releases) are left unanswered
- * and executed late, and which limit answers name.
+ * and executed late, which limit answers name, and the callers from which the server is
+ * partitioned.
  *
  * Not thread safe: to be used on the event loop's thread only.
  */
@@ -113,6 +114,7 @@
     std::optional<AnswerFault> nextAnswerFault();
     void handleControl(const RequestHandle &request);
     void setFaults(const Json::Value &json);
+    void setPartition(const Json::Value &sources, bool keepsOpenConnections);
     Json::Value stateJson() const;
     std::vector<HeaderField> answerHeaders(const std::string &requestId) const;
 
