--- a/src/libbulrush/process/entrysettings.h
+++ b/src/libbulrush/process/entrysettings.h
@@ -21,6 +21,8 @@
     Endpoint callers;
     /** Messages of other daemons. Its port is announced to them and must therefore not be 0. */
     Endpoint peers;
+    /** Requests that other daemons relay. It is announced to them; port 0 means none are taken. */
+    Endpoint relays;
     /** Readiness, metrics and status. */
     Endpoint operators;
     /** Second address for the operators' pages, with a fixed port; port 0 means none. */
--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -242,9 +242,9 @@
     // A removed row stays in the registry for a while, but cannot be replaced.
     const auto known = m_renewers.renewers().find(m_self.host);
     const bool hasRow = known != m_renewers.renewers().end() && !known->second.removedSince;
-    return WriteDaemonRow{
-        hasRow ? known->second.version : 0,
-        DaemonRow{m_self.incarnation, m_self.address, m_self.domain, m_self.processors}};
+    return WriteDaemonRow{hasRow ? known->second.version : 0,
+                          DaemonRow{m_self.incarnation, m_self.address, m_self.domain,
+                                    m_self.processors, m_self.relayAddress}};
 }
 
 /** \returns the removal of the rows of lost daemons, if one is due. */
--- a/src/libbulrush/process/keycoordinator.h
+++ b/src/libbulrush/process/keycoordinator.h
@@ -35,6 +35,8 @@
     Duration takeoverDelay{};
     /** CPU capacity of the host, in cores. */
     double processors = 1.0;
+    /** Receives relayed requests; port 0 if this daemon takes none. */
+    Endpoint relayAddress = {};
 };
 
 /**
--- /dev/null
+++ b/src/libbulrush/process/relaydaemon.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "process/endpoint.h"
+#include "version/identifier.h"
+
+namespace bulrush {
+
+/** A daemon that other daemons may relay requests through. */
+struct RelayDaemon
+{
+    HostName host;
+    DomainName domain;
+    /** Receives relayed requests. */
+    Endpoint address;
+
+    bool operator==(const RelayDaemon &) const = default;
+};
+
+} // namespace bulrush
--- a/src/libbulrush/process/renewerregistry.h
+++ b/src/libbulrush/process/renewerregistry.h
@@ -23,6 +23,8 @@
     DomainName domain = {};
     /** CPU capacity of its host, in cores. */
     double processors = 1.0;
+    /** Receives relayed requests; port 0 if the daemon takes none. */
+    Endpoint relayAddress = {};
 
     bool operator==(const DaemonRow &) const = default;
 };
--- a/src/libbulrush/process/routingstate.h
+++ b/src/libbulrush/process/routingstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/relaydaemon.h"
 #include "process/serverdirectory.h"
 #include "version/keyassignment.h"
 #include "version/routetable.h"
@@ -30,6 +31,8 @@
     std::map<ServiceName, std::shared_ptr<const KeyAssignment>> assignments;
     /** Number of daemons that share common limits, including this one; 0: not known yet. */
     std::size_t daemonCount = 0;
+    /** The other daemons that relay requests. */
+    std::vector<RelayDaemon> relays;
     /** The rank of this daemon for each server in slow start, see SlowStart::rankOf(). */
     std::map<ServerName, std::size_t> slowStartRanks;
 
--- a/src/libbulrush/process/servergauges.cpp
+++ b/src/libbulrush/process/servergauges.cpp
@@ -86,16 +86,18 @@
     gauge.lastLatency = latency;
     if (load)
         applyLoad(gauge, *load, now);
+    if (sign == AttemptOutcome::NotRun)
+        gauge.isUnconnectable = false;
     if (sign == AttemptOutcome::Abandoned || sign == AttemptOutcome::NotRun)
         return;
+    gauge.isUnconnectable = sign == AttemptOutcome::Unreached;
     gauge.completions = decayed(gauge.completions, now - gauge.completedAt) + 1.0;
     gauge.completedAt = now;
     const bool isFailure = sign != AttemptOutcome::Served;
     gauge.failureRate += failureWeight * ((isFailure ? 1.0 : 0.0) - gauge.failureRate);
     if (sign == AttemptOutcome::Unreached || sign == AttemptOutcome::Silent) {
-        const int doublings = std::min(gauge.consecutiveUnanswered++, 3);
         gauge.window = std::min(gauge.window, 1.0);
-        gauge.avoidedUntil = now + std::min(maxAvoidance, initialAvoidance * (1 << doublings));
+        recordUnanswered(gauge, now);
         return;
     }
     gauge.consecutiveUnanswered = 0;
@@ -110,6 +112,13 @@
     }
 }
 
+void ServerGauges::recordUnanswered(Gauge &gauge, Instant now)
+{
+    constexpr int maxDoublings = 3;
+    const int doublings = std::min(gauge.consecutiveUnanswered++, maxDoublings);
+    gauge.avoidedUntil = now + std::min(maxAvoidance, initialAvoidance * (1 << doublings));
+}
+
 void ServerGauges::applyLoad(Gauge &gauge, const ServerLoad &load, Instant now)
 {
     // The answered request is no longer counted; with it, the window had no room for another.
@@ -152,7 +161,44 @@
 {
     const Gauge *gauge = find(server);
     return gauge && gauge->consecutiveUnanswered >= unreachableThreshold
-        && now < gauge->avoidedUntil;
+        && (gauge->isUnconnectable || now < gauge->avoidedUntil);
+}
+
+std::vector<ServerName> ServerGauges::takeDueProbes(std::size_t most, Instant now)
+{
+    std::vector<ServerName> due;
+    for (auto &[server, gauge] : m_gauges) {
+        if (due.size() >= most)
+            break;
+        if (!gauge.isUnconnectable || now < gauge.avoidedUntil)
+            continue;
+        gauge.avoidedUntil = now + initialAvoidance;
+        due.push_back(server);
+    }
+    return due;
+}
+
+void ServerGauges::recordProbe(const ServerName &server, bool isConnected, Instant now)
+{
+    const auto found = m_gauges.find(server);
+    if (found == m_gauges.end() || !found->second.isUnconnectable)
+        return;
+    Gauge &gauge = found->second;
+    if (!isConnected) {
+        recordUnanswered(gauge, now);
+        return;
+    }
+    gauge.isUnconnectable = false;
+    gauge.consecutiveUnanswered = 0;
+    gauge.avoidedUntil = {};
+}
+
+void ServerGauges::expireAvoidance(Instant now)
+{
+    for (auto &[server, gauge] : m_gauges) {
+        if (gauge.isUnconnectable)
+            gauge.avoidedUntil = std::min(gauge.avoidedUntil, now);
+    }
 }
 
 bool ServerGauges::isAvoided(const ServerName &server, Instant now) const
--- a/src/libbulrush/process/servergauges.h
+++ b/src/libbulrush/process/servergauges.h
@@ -6,6 +6,7 @@
 #include "process/serverrecord.h"
 #include "version/serviceload.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -76,9 +77,24 @@
     /** \returns whether the window permits another request to \a server. */
     bool hasRoom(const ServerRecord &server, Instant now) const;
 
-    /** \returns whether \a server repeatedly could not be reached, or did not answer, just now. */
+    /**
+     * \returns whether \a server repeatedly did not answer just now, or repeatedly could not be
+     * connected to since it was last reached.
+     */
     bool isUnreachable(const ServerName &server, Instant now) const;
 
+    /**
+     * \returns at most \a most servers to which a connection should be tried now, because requests
+     * could not connect to them. Each counts as tried.
+     */
+    std::vector<ServerName> takeDueProbes(std::size_t most, Instant now);
+
+    /** Records whether a connection without a request could be established to \a server. */
+    void recordProbe(const ServerName &server, bool isConnected, Instant now);
+
+    /** Makes the probes of all servers due. */
+    void expireAvoidance(Instant now);
+
     /** \returns whether \a server failed recently, so that other servers are preferred. */
     bool isAvoided(const ServerName &server, Instant now) const;
 
@@ -128,6 +144,8 @@
         /** Fraction of recent attempts that failed, from 0 to 1. */
         double failureRate = 0.0;
         int consecutiveUnanswered = 0;
+        /** The last attempt could not connect, and no connection was established since. */
+        bool isUnconnectable = false;
         Instant avoidedUntil;
         Instant lastUsed;
 
@@ -136,6 +154,7 @@
 
     const Gauge *find(const ServerName &server) const;
     Gauge &gaugeOf(const ServerName &server);
+    static void recordUnanswered(Gauge &gauge, Instant now);
     static void applyLoad(Gauge &gauge, const ServerLoad &load, Instant now);
 
     std::map<ServerName, Gauge> m_gauges;
--- /dev/null
+++ b/src/libbulrush/request/relaychooser.cpp
@@ -0,0 +1,137 @@
+#include "request/relaychooser.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace bulrush {
+
+RelayChooser::RelayChooser(DomainName ownDomain)
+    : m_ownDomain(std::move(ownDomain))
+{ }
+
+void RelayChooser::setDaemons(std::vector<RelayDaemon> daemons)
+{
+    m_daemons = std::move(daemons);
+}
+
+const RelayDaemon *RelayChooser::choose(const RelayDemand &demand, Instant now) const
+{
+    if (deniedCount(demand.target, now) >= deniedThreshold)
+        return nullptr;
+    const auto wasDomainTried = [&](const DomainName &domain) {
+        return std::ranges::any_of(m_daemons, [&](const RelayDaemon &other) {
+            return other.domain == domain
+                && std::ranges::find(demand.tried, other.host) != demand.tried.end();
+        });
+    };
+    using Rank = std::tuple<bool, bool, std::size_t, std::uint64_t>;
+    const auto rankOf = [&](const RelayDaemon &daemon) -> Rank {
+        const bool isThirdDomain =
+            daemon.domain != m_ownDomain && daemon.domain != demand.targetDomain;
+        const Health *health = find(daemon.host);
+        const std::string &name = daemon.host.value();
+        return {wasDomainTried(daemon.domain), isThirdDomain, health ? health->inFlight : 0,
+                XXH3_64bits_withSeed(name.data(), name.size(), demand.salt)};
+    };
+    const RelayDaemon *best = nullptr;
+    Rank bestRank;
+    for (const RelayDaemon &daemon : m_daemons) {
+        if (!isUsable(daemon, demand, now))
+            continue;
+        const Rank rank = rankOf(daemon);
+        if (!best || rank < bestRank) {
+            best = &daemon;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+void RelayChooser::recordSent(const HostName &host)
+{
+    ++m_health[host].inFlight;
+}
+
+void RelayChooser::recordEnded(const HostName &host)
+{
+    Health &health = m_health[host];
+    health.inFlight -= std::min<std::size_t>(health.inFlight, 1);
+}
+
+void RelayChooser::recordUsable(const HostName &host)
+{
+    Health &health = m_health[host];
+    health.consecutiveFailures = 0;
+    health.avoidedUntil = {};
+}
+
+void RelayChooser::recordUnusable(const HostName &host, Instant now)
+{
+    constexpr int maxDoublings = 3;
+    Health &health = m_health[host];
+    // Several requests may have been in flight when the daemon failed; they count once.
+    if (now < health.avoidedUntil)
+        return;
+    const int doublings = std::min(health.consecutiveFailures++, maxDoublings);
+    health.avoidedUntil = now + std::min(maxAvoidance, initialAvoidance * (1 << doublings));
+}
+
+void RelayChooser::recordDenied(const HostName &host, const std::string &target, Instant now)
+{
+    m_deniedUntil[{target, host}] = now + denialPeriod;
+}
+
+std::size_t RelayChooser::inFlightCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[host, health] : m_health)
+        count += health.inFlight;
+    return count;
+}
+
+std::size_t RelayChooser::avoidedCount(Instant now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_health, [now](const auto &entry) { return now < entry.second.avoidedUntil; }));
+}
+
+void RelayChooser::removeExpired(Instant now)
+{
+    std::erase_if(m_deniedUntil, [now](const auto &entry) { return entry.second <= now; });
+    std::erase_if(m_health, [now](const auto &entry) {
+        const Health &health = entry.second;
+        return health.inFlight == 0 && now >= health.avoidedUntil + maxAvoidance;
+    });
+}
+
+bool RelayChooser::isUsable(const RelayDaemon &daemon, const RelayDemand &demand, Instant now) const
+{
+    const Health *health = find(daemon.host);
+    return std::ranges::find(demand.tried, daemon.host) == demand.tried.end()
+        && (!health || now >= health->avoidedUntil) && !isDenied(daemon.host, demand.target, now);
+}
+
+bool RelayChooser::isDenied(const HostName &host, const std::string &target, Instant now) const
+{
+    const auto found = m_deniedUntil.find({target, host});
+    return found != m_deniedUntil.end() && now < found->second;
+}
+
+std::size_t RelayChooser::deniedCount(const std::string &target, Instant now) const
+{
+    std::size_t count = 0;
+    for (auto entry = m_deniedUntil.lower_bound({target, HostName{}});
+         entry != m_deniedUntil.end() && entry->first.first == target; ++entry)
+        count += now < entry->second ? 1 : 0;
+    return count;
+}
+
+const RelayChooser::Health *RelayChooser::find(const HostName &host) const
+{
+    const auto found = m_health.find(host);
+    return found == m_health.end() ? nullptr : &found->second;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/src/libbulrush/request/relaychooser.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "process/clock.h"
+#include "process/relaydaemon.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bulrush {
+
+/** A request that this daemon can't send to its server. */
+struct RelayDemand
+{
+    /** The server that must get it, or otherwise its service. */
+    std::string target;
+    /** The failure domain of that server; empty if any server of the service may get it. */
+    DomainName targetDomain;
+    /** Daemons that were asked to relay this request already. */
+    std::span<const HostName> tried;
+    /** Differs between requests, so that they are spread over equally suitable daemons. */
+    std::uint64_t salt = 0;
+};
+
+/**
+ * Chooses the daemon through which a request reaches a server that this daemon can't reach itself.
+ *
+ * Daemons of the own or of the server's failure domain come first, as the bytes then cross domains
+ * only once, and among them the one with the fewest relayed requests in flight. After a daemon
+ * could not help, one of another domain is next, as the daemons of a domain often lose their paths
+ * together. A daemon that did not answer or that reaches no server is avoided for a while. If
+ * several daemons can't reach a server either, it is down, and its requests are not relayed for a
+ * while.
+ *
+ * Not thread safe. Instants never decrease.
+ */
+class RelayChooser
+{
+public:
+    /** A server that this many other daemons can't reach either is down. */
+    static constexpr std::size_t deniedThreshold = 2;
+    /** A daemon that can't reach a server is not asked again for that server for this long. */
+    static constexpr Duration denialPeriod = std::chrono::seconds{1};
+    /** A daemon that can't help at all is avoided for this long at first, then twice as long. */
+    static constexpr Duration initialAvoidance = std::chrono::seconds{1};
+    static constexpr Duration maxAvoidance = std::chrono::seconds{8};
+
+    explicit RelayChooser(DomainName ownDomain);
+
+    /** Sets the other daemons that relay. */
+    void setDaemons(std::vector<RelayDaemon> daemons);
+
+    /** \returns the daemon to ask, or null; valid until setDaemons() is called. */
+    const RelayDaemon *choose(const RelayDemand &demand, Instant now) const;
+
+    /** Records that a request is sent to \a host. */
+    void recordSent(const HostName &host);
+
+    /** Records that \a host has the request no longer, whatever its outcome. */
+    void recordEnded(const HostName &host);
+
+    /** Records that \a host handled a request. */
+    void recordUsable(const HostName &host);
+
+    /** Records that \a host did not answer, or can't reach any server. */
+    void recordUnusable(const HostName &host, Instant now);
+
+    /** Records that \a host can't reach \a target. */
+    void recordDenied(const HostName &host, const std::string &target, Instant now);
+
+    /** \returns how many relayed requests are in flight. */
+    std::size_t inFlightCount() const;
+
+    /** \returns how many daemons are avoided at \a now. */
+    std::size_t avoidedCount(Instant now) const;
+
+    /** Removes expired entries. To be called periodically. */
+    void removeExpired(Instant now);
+
+private:
+    struct Health
+    {
+        std::size_t inFlight = 0;
+        int consecutiveFailures = 0;
+        Instant avoidedUntil;
+    };
+
+    bool isUsable(const RelayDaemon &daemon, const RelayDemand &demand, Instant now) const;
+    bool isDenied(const HostName &host, const std::string &target, Instant now) const;
+    std::size_t deniedCount(const std::string &target, Instant now) const;
+    const Health *find(const HostName &host) const;
+
+    DomainName m_ownDomain;
+    std::vector<RelayDaemon> m_daemons;
+    std::map<HostName, Health> m_health;
+    /** Until when a daemon is not asked for a target, by target and daemon. */
+    std::map<std::pair<std::string, HostName>, Instant> m_deniedUntil;
+};
+
+} // namespace bulrush
--- a/src/libbulrush/request/serverpicker.cpp
+++ b/src/libbulrush/request/serverpicker.cpp
@@ -45,6 +45,7 @@
     : m_gauges(sources.gauges)
     , m_slowStart(sources.slowStart)
     , m_limits(sources.limits)
+    , m_reach(sources.reach)
     , m_ownDomain(std::move(ownDomain))
     , m_drainBudget(budgets.drain)
     , m_evacuationBudget(budgets.evacuation)
@@ -104,6 +105,13 @@
     return demand.key ? pickOwner(state, demand, now) : pickFastest(state, demand, now);
 }
 
+const ServerRecord *ServerPicker::owner(const RoutingState &state, const ServerDemand &demand,
+                                        Instant now) const
+{
+    const KnownServer *server = demand.key ? ownerOf(state, demand, now) : nullptr;
+    return server ? &server->record : nullptr;
+}
+
 ServerEstimate ServerPicker::estimate(const RoutingState &state, const ServerDemand &demand,
                                       Instant now) const
 {
@@ -159,8 +167,9 @@
         if (admitted == SlowStartAdmission::Paced)
             return NoServer::Busy;
     }
-    // Waiting for an unreachable server is useless. Single requests check whether it answers again.
-    if (m_gauges.isUnreachable(server->record.id, now))
+    // Waiting for an unreachable server is useless. Probes find out whether it can be reached
+    // again.
+    if (m_reach.isOutOfReach() || m_gauges.isUnreachable(server->record.id, now))
         return NoServer::Unreachable;
     if (isClosed(demand, server->record.id, now))
         return NoServer::Limited;
@@ -177,6 +186,7 @@
     bool hasReady = false;
     bool hasSlowStart = false;
     bool hasUntried = false;
+    bool hasReachable = false;
     bool hasOpen = false;
     std::uint64_t index = 0;
     for (const KnownServer &server : state.serversOf(demand.service)) {
@@ -192,6 +202,9 @@
         if (wasTried(demand, server.record.id))
             continue;
         hasUntried = true;
+        if (m_reach.isOutOfReach() || m_gauges.isUnreachable(server.record.id, now))
+            continue;
+        hasReachable = true;
         if (isClosed(demand, server.record.id, now))
             continue;
         hasOpen = true;
@@ -215,6 +228,8 @@
         return reasonForAbsence(state.serversOf(demand.service));
     if (!hasUntried)
         return NoServer::AllTried;
+    if (!hasReachable)
+        return NoServer::Unreachable;
     return hasOpen ? NoServer::Busy : NoServer::Limited;
 }
 
--- a/src/libbulrush/request/serverpicker.h
+++ b/src/libbulrush/request/serverpicker.h
@@ -6,6 +6,7 @@
 #include "process/routingstate.h"
 #include "process/servergauges.h"
 #include "process/serverlimits.h"
+#include "process/serverreach.h"
 #include "process/slowstart.h"
 #include "version/routingconfig.h"
 
@@ -37,7 +38,7 @@
 enum class NoServer {
     Busy,        ///< the eligible servers have no capacity
     Absent,      ///< the key has no owner now, or no server of the service is ready
-    Unreachable, ///< the owner of the key, or its host, repeatedly could not be reached just now
+    Unreachable, ///< the servers that may get it can't be reached from this daemon
     AllTried,    ///< all eligible servers were tried, so that waiting does not help
     Cold,        ///< the eligible servers are cold, and only other daemons send to them for now
     Evacuated,   ///< no server of the service is ready, for evacuations among other reasons
@@ -96,6 +97,7 @@
         const ServerGauges &gauges;
         const SlowStart &slowStart;
         const ServerLimits &limits;
+        const ServerReach &reach;
     };
 
     ServerPicker(const Sources &sources, DomainName ownDomain,
@@ -115,6 +117,10 @@
 
     ServerPick pick(const RoutingState &state, const ServerDemand &demand, Instant now) const;
 
+    /** \returns the server that holds the key of \a demand, or null if it has none or no key. */
+    const ServerRecord *owner(const RoutingState &state, const ServerDemand &demand,
+                              Instant now) const;
+
     /** \returns the latest instant to send a request to \a server once it has a connection. */
     Instant maxSendAge(const KnownServer &server) const;
 
@@ -137,6 +143,7 @@
     const ServerGauges &m_gauges;
     const SlowStart &m_slowStart;
     const ServerLimits &m_limits;
+    const ServerReach &m_reach;
     DomainName m_ownDomain;
     DrainBudget m_drainBudget;
     EvacuationBudget m_evacuationBudget;
--- a/src/libbulrushentry/entrycounters.h
+++ b/src/libbulrushentry/entrycounters.h
@@ -27,6 +27,10 @@
     PermitsQueried,    ///< for requests to servers that name limits
     PermitsRefused,
     ConnectionsOpened,
+    RelaysSent,        ///< requests sent through other daemons
+    RelaysAnswered,    ///< of these, those that their servers answered
+    RelaysTaken,       ///< requests that other daemons relayed through this one
+    RelaysNotRun,      ///< of these, those that did not run
     ServersOutOfReach, ///< times at which all paths to servers were lost
     Count,             ///< number of counters
 };
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -64,7 +64,7 @@
           [this](const RoutingDataFreshness &freshness) { m_worker.setFreshness(freshness); })
     , m_keys({followerDependencies(), m_client, m_state},
              {m_settings.host, newIncarnation(m_settings.host), m_settings.domain, m_settings.peers,
-              plannerDelayOf(m_settings), m_settings.processors})
+              plannerDelayOf(m_settings), m_settings.processors, m_settings.relays})
     , m_permits(m_client, m_settings.host)
     , m_crashes(followerDependencies(), m_settings.host,
                 [this](std::shared_ptr<const Quarantine> quarantine) {
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -14,6 +14,10 @@
 
 /** Interval at which queued requests are dispatched, unless another event does so earlier. */
 constexpr Duration dispatchInterval = std::chrono::milliseconds{15};
+/** Interval of the probes that find out whether any server can be reached again. */
+constexpr Duration reachProbeInterval = std::chrono::milliseconds{250};
+/** Servers probed at a time, as many daemons may regain their paths at once. */
+constexpr std::size_t maxProbes = 4;
 /** Maximum number of unknown fields that are logged, as servers may send any number. */
 constexpr std::size_t maxLoggedFields = 20;
 /** Maximum length of a field's value in a log line. */
@@ -60,9 +64,11 @@
     , servers(ownLoop, settings.outgoing.address)
     , timers(ownLoop)
     , counters(ownCounters)
-    , picker({gauges, slowStart, limits}, settings.domain,
+    , self(settings.host)
+    , picker({gauges, slowStart, limits, reach}, settings.domain,
              {DrainBudget{settings.serverDrain}, EvacuationBudget{settings.evacuation}})
     , queue(picker)
+    , relays(settings.domain)
     , retries(settings.retries)
     , answeredRequests(io::hostNow())
     , m_configBudget(settings.configInForce)
@@ -81,6 +87,7 @@
     reach.setServerCount(serverCount(*state));
     retries.setDaemonCount(state->daemonCount);
     gauges.setDaemonCount(state->daemonCount);
+    relays.setDaemons(state->relays);
     removeStaleLimits();
     handleRemovedServers();
     scheduleDispatch();
@@ -210,12 +217,60 @@
 void ForwardContext::recordServerReached()
 {
     const Instant now = io::hostNow();
-    if (reach.isOutOfReach())
+    if (reach.isOutOfReach()) {
         io::logEvent(LogLevel::Warning, "servers-reached",
                      {{"after-ms", io::millisecondsText(now - reach.lastReached())}});
+        gauges.expireAvoidance(now);
+    }
     reach.recordReached(now);
 }
 
+void ForwardContext::probeServers(Instant now)
+{
+    relays.removeExpired(now);
+    for (const ServerName &server : gauges.takeDueProbes(maxProbes, now)) {
+        if (const ServerRecord *record = findServer(server))
+            probe(*record);
+    }
+    if (reach.isOutOfReach() && now - m_probedAt >= reachProbeInterval)
+        probeNextServer(now);
+}
+
+void ForwardContext::probe(const ServerRecord &server)
+{
+    io::ServerCall connectCall;
+    connectCall.server = server.address;
+    connectCall.run = server.id.value();
+    servers.probe(connectCall, [this, id = server.id](bool isConnected) {
+        gauges.recordProbe(id, isConnected, io::hostNow());
+        if (isConnected)
+            recordServerReached();
+        scheduleDispatch();
+    });
+}
+
+/** Probes the servers in turn while none can be reached. */
+void ForwardContext::probeNextServer(Instant now)
+{
+    m_probedAt = now;
+    const ServerRecord *first = nullptr;
+    const ServerRecord *next = nullptr;
+    for (const auto &[service, known] : state->servers) {
+        for (const KnownServer &server : known) {
+            if (!first || server.record.id < first->id)
+                first = &server.record;
+            if (m_probedServer < server.record.id && (!next || server.record.id < next->id))
+                next = &server.record;
+        }
+    }
+    if (!next)
+        next = first;
+    if (!next)
+        return;
+    m_probedServer = next->id;
+    probe(*next);
+}
+
 void ForwardContext::recordServerFailure(const ServerName &server)
 {
     const bool wasOutOfReach = reach.isOutOfReach();
@@ -271,7 +326,7 @@
             continue;
         // The refusal removes the exchange from openRequests.
         const std::shared_ptr<ForwardExchange> exchange = place->second;
-        exchange->refuse(nameOf(request.reason));
+        exchange->giveUp(request.reason);
     }
     if (queue.size() > 0 && !std::exchange(m_isDispatchTimerSet, true))
         timers.after(dispatchInterval, [this](Instant later) {
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -14,6 +14,7 @@
 #include "process/serverlimits.h"
 #include "process/serverreach.h"
 #include "process/slowstart.h"
+#include "request/relaychooser.h"
 #include "request/requestqueue.h"
 #include "version/keyadmission.h"
 #include "version/keyassignment.h"
@@ -56,6 +57,8 @@
     io::ServerClient servers;
     io::LoopTimers timers;
     EntryCounters &counters;
+    /** The host of this daemon. */
+    HostName self;
     /** The latest state published by the control thread; set by setState(). */
     std::shared_ptr<const RoutingState> state;
     ServerGauges gauges;
@@ -64,6 +67,9 @@
     ServerReach reach;
     ServerPicker picker;
     RequestQueue queue;
+    RelayChooser relays;
+    /** Requests of other daemons that have no answer yet. */
+    std::size_t openRelayCount = 0;
     RetryBudgets retries;
     KeyGate keyGate;
     CrashWatch crashes;
@@ -114,6 +120,9 @@
     /** Records that \a server could not be reached, or did not answer. */
     void recordServerFailure(const ServerName &server);
 
+    /** Tries to connect to servers that could not be reached. To be called often. */
+    void probeServers(Instant now);
+
     /** Logs fields of a server's answer that this daemon does not know, each name once. */
     void logUnknownFields(const ServerName &server, std::span<const std::string_view> names);
 
@@ -135,11 +144,16 @@
     void removeStaleLimits();
     void handleRemovedServers();
     void logRoutes(const RoutingState &published);
+    void probe(const ServerRecord &server);
+    void probeNextServer(Instant now);
 
     ConfigBudget m_configBudget;
     /** The last instant at which the store was confirmed to hold no later configuration. */
     Instant m_configConfirmedAt;
     std::set<std::string, std::less<>> m_loggedFields;
+    /** The server that was probed last because all are out of reach. */
+    ServerName m_probedServer;
+    Instant m_probedAt;
     bool m_isDispatchScheduled = false;
     bool m_isDispatchTimerSet = false;
 };
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -50,6 +50,15 @@
 constexpr int allLimitedPauseDivisor = 4;
 /** Reason for refusing a request whose server takes no more of them now. */
 constexpr std::string_view limitedReason = "server-limited";
+/** Reason for refusing a request whose server could not be connected to. */
+constexpr std::string_view unreachableReason = "server-unreachable";
+/** Reasons for refusing requests that another daemon may be able to handle. */
+constexpr std::string_view shuttingDownReason = "shutting-down";
+constexpr std::string_view noConfigReason = "no-configuration";
+constexpr std::string_view outdatedConfigReason = "configuration-behind";
+constexpr std::string_view relayLimitReason = "relay-limit";
+/** Requests of other daemons that are handled at a time, as they must not displace own callers. */
+constexpr std::size_t maxOpenRelays = 200;
 /** Reason for refusing a suspect request while a probe finds out whether it crashes servers. */
 constexpr std::string_view mayCrashReason = "may-crash-servers";
 
@@ -84,16 +93,19 @@
 
 ForwardExchange::ForwardExchange(ForwardContext &context,
                                  std::shared_ptr<io::IncomingRequest> request,
-                                 std::shared_ptr<io::ResponseWriter> writer)
+                                 std::shared_ptr<io::ResponseWriter> writer,
+                                 std::optional<RelayTerms> relayed)
     : m_context(context)
     , m_request(std::move(request))
     , m_writer(std::move(writer))
     , m_startedAt(io::hostNow())
+    , m_relayed(std::move(relayed))
 { }
 
 void ForwardExchange::start()
 {
-    m_context.counters.add(EntryCounter::RequestsTaken);
+    m_context.counters.add(m_relayed ? EntryCounter::RelaysTaken : EntryCounter::RequestsTaken);
+    m_context.openRelayCount += m_relayed ? 1 : 0;
     m_terms = platform::requestMetadata(m_request->head().headers);
     m_ticket = m_context.nextTicket++;
     m_context.openRequests.emplace(m_ticket, shared_from_this());
@@ -115,7 +127,16 @@
 {
     m_routes = m_context.state ? m_context.state->routes : nullptr;
     if (!m_routes || m_context.isRefusing) {
-        refuseNotRun(m_routes ? "shutting-down" : "no-configuration");
+        refuseNotRun(m_routes ? shuttingDownReason : noConfigReason);
+        return false;
+    }
+    // The daemon that relays a request may know a later configuration.
+    if (m_relayed && m_relayed->configVersion > m_routes->config().version) {
+        refuseNotRun(outdatedConfigReason);
+        return false;
+    }
+    if (m_relayed && m_context.openRelayCount > maxOpenRelays) {
+        refuseNotRun(relayLimitReason);
         return false;
     }
     if (m_terms.id.empty()) {
@@ -143,6 +164,9 @@
     if (m_route->timeout)
         wait = std::min(wait, *m_route->timeout);
     m_answerBy = m_startedAt + wait;
+    // The daemon that relays a request has counted and admitted it.
+    if (m_relayed)
+        return true;
     m_context.retries.recordFirstAttempt(m_service);
     return !m_isDividedByKey || admitKey();
 }
@@ -287,6 +311,7 @@
     call.target = m_request->head().target;
     call.headers = platform::forwardedFields(m_request->head().headers, server.id,
                                              timeLeft() - answerTransitTime);
+    removeRelayFields(call.headers);
     call.body = m_body;
     call.timeout = timeLeft() + std::chrono::seconds{1};
     call.sendDeadline = std::min(m_answerBy - RequestQueue::minServiceTime, recordChoice());
@@ -513,11 +538,7 @@
                   {"after-ms", io::millisecondsText(now - m_sentAt)},
                   {"error", result.error.message()}});
     if (isUnsent) {
-        if (!m_isDividedByKey)
-            m_tried.push_back(m_server);
-        if (scheduleRetry(refusedDelay))
-            return;
-        refuseNotRun("server-unreachable");
+        handleUnreachedServer();
         return;
     }
     recordLostAttempt(CrashWatch::Loss::Broke);
@@ -525,6 +546,78 @@
         finishUnknown(badGateway, "answer-lost");
 }
 
+/** Handles that no connection to the chosen server could be established. */
+void ForwardExchange::handleUnreachedServer()
+{
+    if (!m_isDividedByKey) {
+        m_tried.push_back(m_server);
+        if (!m_context.reach.isOutOfReach() && scheduleRetry(refusedDelay))
+            return;
+    }
+    if (!relay())
+        refuseNotRun(unreachableReason);
+}
+
+/**
+ * Sends the request through another daemon, as this one does not reach its server. \returns false
+ * if that is not possible: a relayed request is not relayed again, and one that may have run is not
+ * sent again.
+ */
+bool ForwardExchange::relay()
+{
+    if (m_relayed || m_mayHaveRun || m_relay)
+        return false;
+    ServerDemand demand;
+    demand.service = m_service;
+    if (m_isDividedByKey)
+        demand.key = m_terms.key;
+    const ServerRecord *owner = m_context.picker.owner(*m_context.state, demand, io::hostNow());
+    RelayRequest request;
+    request.method = m_request->head().method;
+    request.target = m_request->head().target;
+    request.headers = m_request->head().headers;
+    removeRelayFields(request.headers);
+    request.body = m_body;
+    request.server = owner ? owner->id.value() : m_service.value();
+    request.serverDomain = owner ? owner->domain : DomainName{};
+    request.configVersion = m_routes->config().version;
+    request.salt = hash();
+    request.answerBy = m_answerBy;
+    m_relay = std::make_shared<PeerRelay>(m_context, std::move(request),
+                                          [self = shared_from_this()](const RelayResult &result) {
+                                              self->handleRelayResult(result);
+                                          });
+    if (m_relay->start())
+        return true;
+    m_relay.reset();
+    return false;
+}
+
+void ForwardExchange::handleRelayResult(const RelayResult &result)
+{
+    if (m_isFinished)
+        return;
+    const std::string &reason = result.statement.reason;
+    switch (result.statement.outcome) {
+    case RelayOutcome::Answered:
+        returnAnswer(result.response);
+        return;
+    case RelayOutcome::NotRun:
+    case RelayOutcome::Denied:
+    case RelayOutcome::CutOff:
+    case RelayOutcome::Unavailable:
+        refuseNotRun(reason);
+        return;
+    case RelayOutcome::Rejected:
+        reject(result.response.status, reason);
+        return;
+    case RelayOutcome::Unknown:
+        m_mayHaveRun = true;
+        finishUnknown(badGateway, reason);
+        return;
+    }
+}
+
 /** Queues the request, which may have run, again. \returns false if it must not be repeated. */
 bool ForwardExchange::retryOnOtherServer()
 {
@@ -581,10 +674,18 @@
     m_context.counters.add(EntryCounter::AnswersReturned);
     m_context.counters.recordLatency(elapsed());
     log("answered", response.status, "server");
-    m_writer->send({response.status, platform::returnedFields(response.headers), response.body});
+    send({response.status, platform::returnedFields(response.headers), response.body},
+         RelayOutcome::Answered, "server");
     finish();
 }
 
+void ForwardExchange::giveUp(GiveUpReason reason)
+{
+    if (m_isFinished || (reason == GiveUpReason::Unreachable && relay()))
+        return;
+    refuse(nameOf(reason));
+}
+
 void ForwardExchange::refuse(std::string_view reason)
 {
     if (m_isFinished)
@@ -609,7 +710,8 @@
     });
     if (advice == RetryAdvice::Later)
         response.headers.push_back({"Retry-After", retryAfter(hash(), m_limitedFor)});
-    m_writer->send(response);
+    m_context.counters.add(EntryCounter::RelaysNotRun, m_relayed ? 1 : 0);
+    send(std::move(response), refusalOutcome(reason), reason);
     finish();
 }
 
@@ -622,7 +724,7 @@
     }
     m_context.counters.add(EntryCounter::EndedUnknown);
     log("unknown", status, reason);
-    m_writer->send(io::refusal(status));
+    send(io::refusal(status), RelayOutcome::Unknown, reason);
     finish();
 }
 
@@ -630,10 +732,30 @@
 {
     m_context.counters.add(EntryCounter::Rejected);
     log("rejected", status, reason);
-    m_writer->send(io::refusal(status));
+    send(io::refusal(status), RelayOutcome::Rejected, reason);
     finish();
 }
 
+/** Sends the final answer; a daemon that relays the request is also told \a outcome and \a reason.
+ */
+void ForwardExchange::send(io::HttpResponse response, RelayOutcome outcome, std::string_view reason)
+{
+    if (m_relayed)
+        addRelayStatement(response.headers, {outcome, std::string{reason}});
+    m_writer->send(response);
+}
+
+/** \returns what a refusal for \a reason means to a daemon that relays the request. */
+RelayOutcome ForwardExchange::refusalOutcome(std::string_view reason) const
+{
+    if (reason == shuttingDownReason || reason == noConfigReason || reason == outdatedConfigReason
+        || reason == relayLimitReason)
+        return RelayOutcome::Unavailable;
+    if (reason != unreachableReason && reason != nameOf(GiveUpReason::Unreachable))
+        return RelayOutcome::NotRun;
+    return m_context.reach.isOutOfReach() ? RelayOutcome::CutOff : RelayOutcome::Denied;
+}
+
 void ForwardExchange::handleDisconnect()
 {
     if (m_isFinished)
@@ -652,6 +774,8 @@
         m_mayHaveRun = true;
         m_context.recordServerFailure(m_server);
     }
+    if (m_relay && m_relay->isSent())
+        m_mayHaveRun = true;
     refuse("time-is-up");
 }
 
@@ -672,6 +796,9 @@
         m_call.reset();
         m_context.scheduleDispatch();
     }
+    if (m_relay)
+        m_relay->cancel();
+    m_context.openRelayCount -= m_relayed ? 1 : 0;
     endProbe();
     m_context.queue.remove(m_ticket);
     m_writer.reset();
@@ -701,6 +828,8 @@
                   {"moving", owned && owned->isMoving() ? "yes" : "no"},
                   {"assignment", std::to_string(assignment ? assignment->sequence : 0)},
                   {"server", m_server.value()},
+                  {"relay", m_relay ? m_relay->host().value() : ""},
+                  {"relayed-from", m_relayed ? m_relayed->from.value() : ""},
                   {"servers", m_context.reach.isOutOfReach() ? "out-of-reach" : "reached"},
                   {"server-limit", limit ? std::to_string(limit->perSecond) : "none"},
                   {"attempts", std::to_string(m_attempts)},
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -4,9 +4,11 @@
 #include "connection/responsewriter.h"
 #include "connection/servercall.h"
 #include "forwardcontext.h"
+#include "peerrelay.h"
 #include "platform/requestfields.h"
 #include "process/permit.h"
 #include "request/requestfingerprint.h"
+#include "request/requestqueue.h"
 #include "version/routingconfig.h"
 
 #include <memory>
@@ -26,8 +28,10 @@
 class ForwardExchange : public std::enable_shared_from_this<ForwardExchange>
 {
 public:
+    /** \a relayed is set if another daemon relays the request. */
     ForwardExchange(ForwardContext &context, std::shared_ptr<io::IncomingRequest> request,
-                    std::shared_ptr<io::ResponseWriter> writer);
+                    std::shared_ptr<io::ResponseWriter> writer,
+                    std::optional<RelayTerms> relayed = std::nullopt);
 
     ForwardExchange(const ForwardExchange &) = delete;
     ForwardExchange &operator=(const ForwardExchange &) = delete;
@@ -38,6 +42,9 @@
     /** Sends the request to \a server. \pre the queue has just released it */
     void sendTo(const ServerRecord &server);
 
+    /** Handles that the queue has given the request up: relays or refuses it. */
+    void giveUp(GiveUpReason reason);
+
     /** Refuses the queued request: as not run, or as unknown if an earlier attempt may have run. */
     void refuse(std::string_view reason);
 
@@ -74,6 +81,9 @@
     void handleAttemptResult(const io::HttpResult &result);
     void handleAnswer(const io::HttpResult &result);
     void handleBrokenAttempt(const io::HttpResult &result);
+    void handleUnreachedServer();
+    bool relay();
+    void handleRelayResult(const RelayResult &result);
     bool retryOnOtherServer();
     bool scheduleRetry(Duration delay);
     void returnAnswer(const io::HttpResponse &response);
@@ -84,6 +94,8 @@
     void refuseNotRun(std::string_view reason, RetryAdvice advice = RetryAdvice::Later);
     void finishUnknown(int status, std::string_view reason);
     void reject(int status, std::string_view reason);
+    void send(io::HttpResponse response, RelayOutcome outcome, std::string_view reason);
+    RelayOutcome refusalOutcome(std::string_view reason) const;
     void handleDisconnect();
     void handleTimeout();
     void finish();
@@ -122,6 +134,10 @@
     /** The server may have left, by that data, so the times of the attempt are logged. */
     bool m_isChoiceLogged = false;
     std::optional<io::ServerClient::CallId> m_call;
+    /** Set while other daemons are asked to relay the request, and after one has answered. */
+    std::shared_ptr<PeerRelay> m_relay;
+    /** Set if another daemon relays the request, so that this one must not relay it on. */
+    std::optional<RelayTerms> m_relayed;
     std::optional<Permit> m_permit;
     /** Time after which a server will have room again, as stated with a refused permit. */
     Duration m_limitedFor{};
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -1,5 +1,6 @@
 #include "forwardworker.h"
 
+#include "connection/httpstatus.h"
 #include "forwardexchange.h"
 #include "process/hostclock.h"
 
@@ -17,6 +18,7 @@
 constexpr std::uint64_t bufferedBodyLimit = std::uint64_t{1} << 20;
 /** Callers keep idle connections for some 15 s; this is longer, so that the caller closes first. */
 constexpr Duration callerIdleTimeout = std::chrono::seconds{25};
+constexpr int badRequest = 400;
 
 } // namespace
 
@@ -35,12 +37,33 @@
 std::error_code ForwardWorker::listen()
 {
     m_callers = std::make_unique<io::CallerServer>(
-        m_loop, serverSettings(), [this](auto request, auto writer) {
+        m_loop, serverSettings(m_settings.callers), [this](auto request, auto writer) {
             std::make_shared<ForwardExchange>(m_context, std::move(request), std::move(writer))
                 ->start();
             m_openCount = m_context.openRequests.size();
         });
-    return m_callers->listen();
+    if (const std::error_code error = m_callers->listen())
+        return error;
+    if (m_settings.relays.port == 0)
+        return {};
+    m_relays = std::make_unique<io::CallerServer>(
+        m_loop, serverSettings(m_settings.relays), [this](auto request, auto writer) {
+            handleRelayed(std::move(request), std::move(writer));
+        });
+    return m_relays->listen();
+}
+
+void ForwardWorker::handleRelayed(std::shared_ptr<io::IncomingRequest> request,
+                                  std::shared_ptr<io::ResponseWriter> writer)
+{
+    std::optional<RelayTerms> terms = relayTerms(request->head().headers);
+    if (!terms) {
+        writer->send(io::plainTextResponse(badRequest, "only daemons relay requests here\n"));
+        return;
+    }
+    std::make_shared<ForwardExchange>(m_context, std::move(request), std::move(writer),
+                                      std::move(terms))
+        ->start();
 }
 
 std::uint16_t ForwardWorker::port() const
@@ -100,7 +123,11 @@
 
 void ForwardWorker::drain()
 {
-    asio::post(m_loop, [this] { m_callers->drain(); });
+    asio::post(m_loop, [this] {
+        m_callers->drain();
+        if (m_relays)
+            m_relays->drain();
+    });
 }
 
 void ForwardWorker::refuseNew()
@@ -142,11 +169,11 @@
     m_thread.join();
 }
 
-io::CallerServerSettings ForwardWorker::serverSettings() const
+io::CallerServerSettings ForwardWorker::serverSettings(const Endpoint &address) const
 {
     io::CallerServerSettings settings;
-    settings.address = m_settings.callers.address;
-    settings.port = m_settings.callers.port;
+    settings.address = address.address;
+    settings.port = address.port;
     settings.bufferedBodyLimit = bufferedBodyLimit;
     settings.requestReadTimeout = callerIdleTimeout;
     settings.bodyLimit = m_settings.limits.maxBodyBytes;
@@ -161,6 +188,7 @@
     m_context.gauges.removeIdle(now);
     m_context.slowStart.removeExpired(now);
     m_context.crashes.forget(now);
+    m_context.probeServers(now);
     const std::uint64_t opened = m_context.servers.openedConnectionCount();
     m_counters.add(EntryCounter::ConnectionsOpened,
                    opened - std::exchange(m_countedConnections, opened));
--- a/src/libbulrushentry/forwardworker.h
+++ b/src/libbulrushentry/forwardworker.h
@@ -37,7 +37,8 @@
     ForwardWorker(const ForwardWorker &) = delete;
     ForwardWorker &operator=(const ForwardWorker &) = delete;
 
-    /** Listens for callers. \pre start() was not called */
+    /** Listens for callers, and for requests that other daemons relay. \pre start() was not called
+     */
     std::error_code listen();
 
     /** \returns the port listened on. \pre listen() succeeded */
@@ -102,7 +103,9 @@
     void stop();
 
 private:
-    io::CallerServerSettings serverSettings() const;
+    io::CallerServerSettings serverSettings(const Endpoint &address) const;
+    void handleRelayed(std::shared_ptr<io::IncomingRequest> request,
+                       std::shared_ptr<io::ResponseWriter> writer);
     void updateMeasurements(Instant now);
     std::vector<LoadSample> collectSamples();
     std::optional<ServiceName> keyedServiceOf(const ServerName &server) const;
@@ -113,6 +116,8 @@
     asio::executor_work_guard<asio::io_context::executor_type> m_guard;
     ForwardContext m_context;
     std::unique_ptr<io::CallerServer> m_callers;
+    /** Takes the requests that other daemons relay; null if there is no address for them. */
+    std::unique_ptr<io::CallerServer> m_relays;
     std::atomic<std::size_t> m_openCount{0};
     std::atomic<std::size_t> m_connectionCount{0};
     std::uint64_t m_countedConnections = 0;
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -235,13 +235,17 @@
     m_coordinator.markRowsApplied(change.version);
     std::vector<Renewer> daemons;
     std::vector<DaemonLocation> locations;
+    std::vector<RelayDaemon> relays;
     for (const auto &[host, renewer] : m_coordinator.renewers().renewers()) {
         daemons.push_back(renewer);
-        if (!renewer.removedSince)
-            locations.push_back({host, renewer.row.domain});
+        if (renewer.removedSince)
+            continue;
+        locations.push_back({host, renewer.row.domain});
+        if (host != m_host && renewer.row.relayAddress.port != 0)
+            relays.push_back({host, renewer.row.domain, renewer.row.relayAddress});
     }
     m_deps.follow.plan.setDaemons(daemons);
-    m_deps.state.setDaemons(std::move(locations));
+    m_deps.state.setDaemons(std::move(locations), std::move(relays));
     if (m_changeHandler)
         m_changeHandler(change);
     advance(now);
--- /dev/null
+++ b/src/libbulrushentry/peerrelay.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "connection/httpclient.h"
+#include "connection/serverclient.h"
+#include "relaymessage.h"
+#include "request/relaychooser.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bulrush {
+
+struct ForwardContext;
+
+/** A caller's request to relay. */
+struct RelayRequest
+{
+    std::string method;
+    /** Path and query. */
+    std::string target;
+    /** The caller's fields, without those of its connection. */
+    std::vector<io::HttpHeader> headers;
+    std::shared_ptr<const std::string> body;
+    /** The server that must get it, or otherwise its service. */
+    std::string server;
+    /** The failure domain of that server; empty if any server of the service may get it. */
+    DomainName serverDomain;
+    /** Version of the configuration by which it was admitted. */
+    std::uint64_t configVersion = 0;
+    std::uint64_t salt = 0;
+    Instant answerBy;
+};
+
+/** What became of a request that was relayed. */
+struct RelayResult
+{
+    RelayStatement statement;
+    /** The answer, if one arrived. */
+    io::HttpResponse response;
+};
+
+/**
+ * Sends one request through other daemons, one after the other, until one of them handles it. A
+ * request that a daemon may have passed on is never sent to another one.
+ *
+ * Used on the traffic thread, created with std::make_shared.
+ */
+class PeerRelay : public std::enable_shared_from_this<PeerRelay>
+{
+public:
+    using Handler = std::function<void(const RelayResult &)>;
+
+    /** \a handler is called once, never from within start(), unless cancel() is called before. */
+    PeerRelay(ForwardContext &context, RelayRequest request, Handler handler);
+
+    PeerRelay(const PeerRelay &) = delete;
+    PeerRelay &operator=(const PeerRelay &) = delete;
+
+    /** Sends the request. \returns false, without a later result, if no daemon can be asked. */
+    bool start();
+
+    /** Stops: the daemon that has the request learns that its caller is gone. */
+    void cancel();
+
+    /** \returns whether a daemon may have received the request. */
+    bool isSent() const;
+
+    /** \returns the daemon that was asked last. */
+    const HostName &host() const;
+
+private:
+    void handleResult(const io::HttpResult &result);
+    RelayResult evaluate(const io::HttpResult &result) const;
+    void recordOutcome(RelayOutcome outcome);
+    void finish(const RelayResult &result);
+
+    ForwardContext &m_context;
+    RelayRequest m_request;
+    Handler m_handler;
+    std::vector<HostName> m_tried;
+    HostName m_host;
+    std::optional<io::ServerClient::CallId> m_call;
+};
+
+inline const HostName &PeerRelay::host() const
+{
+    return m_host;
+}
+
+} // namespace bulrush
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -87,11 +87,13 @@
     publish();
 }
 
-void StatePublisher::setDaemons(std::vector<DaemonLocation> daemons)
+void StatePublisher::setDaemons(std::vector<DaemonLocation> daemons,
+                                std::vector<RelayDaemon> relays)
 {
-    if (m_daemons == daemons)
+    if (m_daemons == daemons && m_relays == relays)
         return;
     m_daemons = std::move(daemons);
+    m_relays = std::move(relays);
     publish();
 }
 
@@ -296,6 +298,7 @@
     state->routesUnchangedUntil = m_routesUnchangedUntil;
     state->assignments = m_assignments;
     state->daemonCount = daemonCount();
+    state->relays = m_relays;
     const Instant now = io::hostNow();
     for (const auto &[id, server] : m_directory.servers()) {
         if (server.removedSince)
--- a/src/libbulrushentry/statepublisher.h
+++ b/src/libbulrushentry/statepublisher.h
@@ -51,10 +51,10 @@
     void setAssignment(KeyAssignment assignment);
 
     /**
-     * Sets the daemons that have rows, which may not include this one yet, and publishes them if
-     * they have changed.
+     * Sets the daemons that have rows, which may not include this one yet, and the other daemons
+     * that relay requests, and publishes them if they have changed.
      */
-    void setDaemons(std::vector<DaemonLocation> daemons);
+    void setDaemons(std::vector<DaemonLocation> daemons, std::vector<RelayDaemon> relays);
 
     /** Records that the server \a id has stopped, even if its record still exists. */
     void recordServerStopped(const ServerName &id);
@@ -108,6 +108,7 @@
     HostName m_self;
     /** The daemons that have rows; nothing until these rows were received. */
     std::optional<std::vector<DaemonLocation>> m_daemons;
+    std::vector<RelayDaemon> m_relays;
     bool m_hasServers = false;
 };
 
--- a/src/libbulrushio/connection/serverclient.cpp
+++ b/src/libbulrushio/connection/serverclient.cpp
@@ -100,6 +100,11 @@
         createConnection(like.server, like.run)->open(like);
 }
 
+void ServerClient::probe(const ServerCall &like, std::function<void(bool isConnected)> handler)
+{
+    createConnection(like.server, like.run)->open(like, std::move(handler));
+}
+
 ServerClient::CallId ServerClient::send(ServerCall call, ServerCallHandler handler)
 {
     const CallId id = m_nextId++;
--- a/src/libbulrushio/connection/serverclient.h
+++ b/src/libbulrushio/connection/serverclient.h
@@ -52,6 +52,12 @@
     /** Opens a connection for later calls to the server of \a like, unless there is one already. */
     void ensureConnected(const ServerCall &like);
 
+    /**
+     * Opens a connection to the server of \a like, whether or not there is one already, and passes
+     * to \a handler whether it could be established. It is kept for later calls.
+     */
+    void probe(const ServerCall &like, std::function<void(bool isConnected)> handler);
+
     /** A change of the connectivity to a run of a server. */
     enum class ConnectionEvent {
         Connected, ///< the first connection was established
--- a/src/libbulrushio/connection/serverconnection.cpp
+++ b/src/libbulrushio/connection/serverconnection.cpp
@@ -82,8 +82,9 @@
         connect();
 }
 
-void ServerConnection::open(const ServerCall &like)
+void ServerConnection::open(const ServerCall &like, OpenHandler handler)
 {
+    m_openHandler = std::move(handler);
     m_isOpening = true;
     m_call.connectTimeout = like.connectTimeout;
     m_call.timeout = like.timeout;
@@ -151,6 +152,7 @@
         m_idleUntil = hostNow() + unusedIdleTimeout;
         read();
         m_stateHandler(shared_from_this());
+        reportOpened(true);
         return;
     }
     m_stateHandler(shared_from_this());
@@ -319,10 +321,19 @@
     m_isConnected = false;
     // A time-out does not show that the server has stopped.
     m_isLost = error != TransportError::TimedOut;
-    if (std::exchange(m_isOpening, false))
+    if (std::exchange(m_isOpening, false)) {
         close();
-    else
+        reportOpened(false);
+    } else {
         endCall({error, m_stage, {}});
+    }
+}
+
+void ServerConnection::reportOpened(bool isConnected)
+{
+    const OpenHandler handler = std::exchange(m_openHandler, nullptr);
+    if (handler)
+        handler(isConnected);
 }
 
 void ServerConnection::endCall(HttpResult result)
--- a/src/libbulrushio/connection/serverconnection.h
+++ b/src/libbulrushio/connection/serverconnection.h
@@ -47,8 +47,13 @@
      */
     void send(ServerCall call, ServerCallHandler handler);
 
-    /** Connects with the time-outs of \a like, for later calls. \pre nothing was sent on it */
-    void open(const ServerCall &like);
+    using OpenHandler = std::function<void(bool isConnected)>;
+
+    /**
+     * Connects with the time-outs of \a like, for later calls, and passes the result to \a handler.
+     * \pre nothing was sent on it
+     */
+    void open(const ServerCall &like, OpenHandler handler = {});
 
     /** Closes the connection; the handler of a call on it is not called. */
     void close();
@@ -87,6 +92,7 @@
 private:
     void connect();
     void bindToSource();
+    void reportOpened(bool isConnected);
     void handleConnected(std::error_code error);
     void setOptions();
     void write();
@@ -111,6 +117,7 @@
     AnswerParser m_parser;
     ServerCall m_call;
     ServerCallHandler m_handler;
+    OpenHandler m_openHandler;
     std::string m_head;
     std::array<char, 4096> m_buffer{};
     TransferStage m_stage = TransferStage::NotConnected;
--- a/src/libbulrushio/process/entrysettingsreader.cpp
+++ b/src/libbulrushio/process/entrysettingsreader.cpp
@@ -20,6 +20,7 @@
     const auto address = endpoint(PortZero::Allowed);
     addresses->read("callers", address, settings.callers, Presence::Required);
     addresses->read("peers", endpoint(PortZero::Refused), settings.peers, Presence::Required);
+    addresses->read("relays", endpoint(PortZero::Refused), settings.relays, Presence::Optional);
     addresses->read("operators", address, settings.operators, Presence::Required);
     addresses->read("metrics", endpoint(PortZero::Refused), settings.metrics, Presence::Optional);
     addresses->read("outgoing", address, settings.outgoing, Presence::Optional);
--- a/src/libbulrushio/version/renewalcodec.cpp
+++ b/src/libbulrushio/version/renewalcodec.cpp
@@ -85,6 +85,8 @@
     json["address"] = toString(row.address);
     json["domain"] = row.domain.value();
     json["processors"] = row.processors;
+    if (row.relayAddress.port != 0)
+        json["relays"] = toString(row.relayAddress);
     return toCompactJson(json);
 }
 
@@ -102,6 +104,9 @@
     // row.
     if (json["domain"].isString())
         row.domain = DomainName{json["domain"].asString()};
+    if (json["relays"].isString())
+        row.relayAddress =
+            endpoint(PortZero::Refused).parse(json["relays"].asString()).value_or(Endpoint{});
     if (json["processors"].isNumeric())
         row.processors = json["processors"].asDouble();
     return row;
--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -165,6 +165,7 @@
                         << m_store->address(host) << "\"\naddresses:\n"
                         << "  callers: \"" << ip << ":8080\"\n  peers: \"" << ip
                         << ":8081\"\n  operators: \"" << ip << ":8082\"\n"
+                        << "  relays: \"" << ip << ":8083\"\n"
                         << "  outgoing: \"" << ip << ":0\"\n";
     m_daemons[host] = std::make_unique<ChildProcess>(binaryPath("bulrushswitchd"),
                                                      std::vector<std::string>{"--settings", path});
--- a/tests/entrysettings/test_entrysettings.cpp
+++ b/tests/entrysettings/test_entrysettings.cpp
@@ -73,6 +73,7 @@
         {"{{listen.ready}}", "10.1.0.18:8388"},
         {"{{ip}}", "10.1.0.18"},
         {"{{internalPortRange.0}}", "7200"},
+        {"{{internalPortRange.1}}", "7215"},
         {"{{limits.cpuShare}}", "0.1"},
         {"{{#limits.cpuShare}}\n", ""},
         {"{{/limits.cpuShare}}\n", ""},
--- a/tests/loadworld/loadsimulation.cpp
+++ b/tests/loadworld/loadsimulation.cpp
@@ -44,7 +44,8 @@
     ServerGauges gauges;
     SlowStart slowStart;
     ServerLimits limits;
-    ServerPicker picker{{gauges, slowStart, limits}, DomainName{"a"}};
+    ServerReach reach;
+    ServerPicker picker{{gauges, slowStart, limits, reach}, DomainName{"a"}};
     RequestQueue queue{picker};
     KeyGate gate;
     std::map<std::uint64_t, Request> open;
--- a/tests/requestqueue/test_requestqueue.cpp
+++ b/tests/requestqueue/test_requestqueue.cpp
@@ -30,7 +30,8 @@
     ServerGauges gauges;
     SlowStart slowStart;
     ServerLimits limits;
-    ServerPicker picker{{gauges, slowStart, limits}, DomainName{"a"}};
+    ServerReach reach;
+    ServerPicker picker{{gauges, slowStart, limits, reach}, DomainName{"a"}};
     RequestQueue queue{picker};
     std::uint64_t nextTicket = 1;
 
