Leave planning to another daemon while no server is in reach but others reach some

Cause: the planner was among the cut hosts, kept its lease and could neither renew nor release keys; as all hosts of its domain were cut too, nobody renewed the grants of that domain's servers. A daemon that reaches no server while requests that it relays are answered now gives the planner's lease up, and does not take it.

--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -200,6 +200,11 @@
     return m_keyShares;
 }
 
+void KeyCoordinator::setCutOff(bool isCutOff)
+{
+    m_lease.setYielding(isCutOff);
+}
+
 void KeyCoordinator::resign()
 {
     m_isLeaving = true;
--- a/src/libbulrush/process/keycoordinator.h
+++ b/src/libbulrush/process/keycoordinator.h
@@ -186,6 +186,12 @@
      */
     const std::vector<KeyShares> &keyShares(const ServerDirectory &servers, Instant now);
 
+    /**
+     * Sets whether this daemon reaches no server although others do, so that it can neither move
+     * nor renew keys and leaves planning to them.
+     */
+    void setCutOff(bool isCutOff);
+
     /** Permanently gives up the planner's lease and the right to renew, for a shutdown. */
     void resign();
 
--- a/src/libbulrush/process/plannerlease.cpp
+++ b/src/libbulrush/process/plannerlease.cpp
@@ -67,7 +67,7 @@
     if (!m_isRowKnown || m_pending || now < m_retryAt || !isDue(now))
         return std::nullopt;
     PlannerRow next{m_self, m_address, m_row.renewals + 1};
-    if (m_isResigning)
+    if (isGivingUp())
         next.holder = {};
     m_pending = PlannerRowWrite{m_version, next};
     m_sentAt = now;
@@ -76,13 +76,13 @@
 
 bool PlannerLease::isHeld(Instant now) const
 {
-    return !m_isResigning && m_row.holder == m_self && m_renewedAt
+    return !isGivingUp() && m_row.holder == m_self && m_renewedAt
         && now - *m_renewedAt < leaseDuration;
 }
 
 bool PlannerLease::isDue(Instant now) const
 {
-    if (m_isResigning)
+    if (isGivingUp())
         return m_row.holder == m_self;
     if (m_row.holder == m_self)
         return now - m_changedAt >= renewalInterval;
--- a/src/libbulrush/process/plannerlease.h
+++ b/src/libbulrush/process/plannerlease.h
@@ -78,6 +78,12 @@
     /** Gives up the lease permanently. */
     void resign();
 
+    /**
+     * Sets whether other daemons should plan in this one's place: it then gives the lease up, and
+     * does not take it.
+     */
+    void setYielding(bool isYielding);
+
     /** \returns whether this daemon may plan at \a now. */
     bool isHeld(Instant now) const;
 
@@ -91,6 +97,7 @@
     std::uint64_t version() const;
 
 private:
+    bool isGivingUp() const;
     bool isDue(Instant now) const;
 
     Incarnation m_self;
@@ -107,6 +114,7 @@
     /** Earliest retry after a write that failed, or may have failed. */
     Instant m_retryAt;
     bool m_isResigning = false;
+    bool m_isYielding = false;
 };
 
 inline void PlannerLease::resign()
@@ -114,6 +122,16 @@
     m_isResigning = true;
 }
 
+inline void PlannerLease::setYielding(bool isYielding)
+{
+    m_isYielding = isYielding;
+}
+
+inline bool PlannerLease::isGivingUp() const
+{
+    return m_isResigning || m_isYielding;
+}
+
 inline bool PlannerLease::isWriting() const
 {
     return m_pending.has_value();
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -231,6 +231,7 @@
 void EntryDaemon::advance(Instant now)
 {
     m_state.advance(now);
+    m_keys.setCutOff(m_worker.isCutOff());
     m_keys.advance(now);
     m_crashes.advance(now);
     m_permits.advance(now);
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -16,6 +16,8 @@
 constexpr Duration dispatchInterval = std::chrono::milliseconds{15};
 /** Interval of the probes that find out whether any server can be reached again. */
 constexpr Duration reachProbeInterval = std::chrono::milliseconds{250};
+/** An answer through another daemon shows for this long that others reach servers. */
+constexpr Duration relayEvidencePeriod = std::chrono::seconds{2};
 /** Servers probed at a time, as many daemons may regain their paths at once. */
 constexpr std::size_t maxProbes = 4;
 /** Maximum number of unknown fields that are logged, as servers may send any number. */
@@ -225,6 +227,11 @@
     reach.recordReached(now);
 }
 
+bool ForwardContext::isCutOff(Instant now) const
+{
+    return reach.isOutOfReach() && now - relayAnsweredAt < relayEvidencePeriod;
+}
+
 void ForwardContext::probeServers(Instant now)
 {
     relays.removeExpired(now);
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -70,6 +70,8 @@
     RelayChooser relays;
     /** Requests of other daemons that have no answer yet. */
     std::size_t openRelayCount = 0;
+    /** When a server last answered a request that another daemon relayed for this one. */
+    Instant relayAnsweredAt;
     RetryBudgets retries;
     KeyGate keyGate;
     CrashWatch crashes;
@@ -120,6 +122,10 @@
     /** Records that \a server could not be reached, or did not answer. */
     void recordServerFailure(const ServerName &server);
 
+    /** \returns whether this daemon reaches no server although another one reached some just now.
+     */
+    bool isCutOff(Instant now) const;
+
     /** Tries to connect to servers that could not be reached. To be called often. */
     void probeServers(Instant now);
 
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -189,6 +189,7 @@
     m_context.slowStart.removeExpired(now);
     m_context.crashes.forget(now);
     m_context.probeServers(now);
+    m_isCutOff = m_context.isCutOff(now);
     const std::uint64_t opened = m_context.servers.openedConnectionCount();
     m_counters.add(EntryCounter::ConnectionsOpened,
                    opened - std::exchange(m_countedConnections, opened));
--- a/src/libbulrushentry/forwardworker.h
+++ b/src/libbulrushentry/forwardworker.h
@@ -99,6 +99,12 @@
     /** \returns how many connections of callers were open at the last update. Thread safe. */
     std::size_t connectionCount() const;
 
+    /**
+     * \returns whether no server could be reached at the last update although other daemons
+     * reached some. Thread safe.
+     */
+    bool isCutOff() const;
+
     /** Stops the event loop and joins the thread. */
     void stop();
 
@@ -120,6 +126,7 @@
     std::unique_ptr<io::CallerServer> m_relays;
     std::atomic<std::size_t> m_openCount{0};
     std::atomic<std::size_t> m_connectionCount{0};
+    std::atomic<bool> m_isCutOff{false};
     std::uint64_t m_countedConnections = 0;
     std::thread m_thread;
 };
@@ -129,6 +136,11 @@
     return m_connectionCount;
 }
 
+inline bool ForwardWorker::isCutOff() const
+{
+    return m_isCutOff;
+}
+
 inline std::size_t ForwardWorker::openCount() const
 {
     return m_openCount;
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -126,6 +126,11 @@
     advance(io::hostNow());
 }
 
+void KeyControl::setCutOff(bool isCutOff)
+{
+    m_coordinator.setCutOff(isCutOff);
+}
+
 std::optional<Endpoint> KeyControl::plannerAddress() const
 {
     const PlannerRow &row = m_coordinator.lease().row();
--- a/src/libbulrushentry/keycontrol.h
+++ b/src/libbulrushentry/keycontrol.h
@@ -48,6 +48,9 @@
     /** Gives up the planner's lease permanently, for a shutdown. */
     void resign();
 
+    /** Sets whether this daemon reaches no server although other daemons do. */
+    void setCutOff(bool isCutOff);
+
     /** \returns whether this daemon is the planner. */
     bool isPlanning() const;
 
--- a/src/libbulrushentry/peerrelay.cpp
+++ b/src/libbulrushentry/peerrelay.cpp
@@ -113,6 +113,7 @@
     case RelayOutcome::Answered:
         m_context.counters.add(EntryCounter::RelaysAnswered);
         m_context.relays.recordUsable(m_host);
+        m_context.relayAnsweredAt = now;
         return;
     case RelayOutcome::Denied:
         m_context.relays.recordDenied(m_host, m_request.server, now);
--- a/tests/keydecisions/test_plannerlease.cpp
+++ b/tests/keydecisions/test_plannerlease.cpp
@@ -140,3 +140,24 @@
         BOOST_TEST((plannerTakeoverDelay(hash, 0.1) > longest));
     BOOST_TEST((plannerTakeoverDelay(1, 0.5) != plannerTakeoverDelay(2, 0.5)));
 }
+
+BOOST_FIXTURE_TEST_CASE(givesTheLeaseUpWhileOthersShouldPlan, Fixture)
+{
+    takeLease(start);
+    lease.setYielding(true);
+    BOOST_TEST(!lease.isHeld(start + 1s));
+    const auto write = lease.advance(start + 1s);
+    BOOST_REQUIRE(write.has_value());
+    BOOST_TEST(write->row.holder.isEmpty());
+    lease.handleWriteResult(RowWriteResult::Done, 6, start + 1s + 5ms);
+    BOOST_TEST(!lease.advance(start + 30s).has_value());
+    lease.setYielding(false);
+    BOOST_TEST(lease.advance(start + 30s).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(doesNotTakeTheLeaseWhileOthersShouldPlan, Fixture)
+{
+    lease.setYielding(true);
+    lease.applyRow(5, {other, address, 1}, start);
+    BOOST_TEST(!lease.advance(start + 30s).has_value());
+}
