Conclude that a server has stopped only if another one can be connected to

Cause: a host whose connections are reset and then refused took each server for stopped, and reported the requests in flight there as suspects to all others. Now the server that was reached last is connected to first. If that fails, too, the removal of the server's record decides.

--- a/src/libbulrush/process/crashwatch.cpp
+++ b/src/libbulrush/process/crashwatch.cpp
@@ -51,6 +51,11 @@
     return reports;
 }
 
+bool CrashWatch::hasRequestsAt(const ServerName &server) const
+{
+    return m_entries.contains(server);
+}
+
 void CrashWatch::serverAnswered(const ServerName &server)
 {
     m_crashedAt.erase(server);
--- a/src/libbulrush/process/crashwatch.h
+++ b/src/libbulrush/process/crashwatch.h
@@ -53,6 +53,9 @@
     /** Records that a server has crashed. \returns the reports of the requests in flight there. */
     std::vector<CrashReport> serverEnded(const ServerName &server, Instant now);
 
+    /** \returns whether requests that were sent to \a server are stored. */
+    bool hasRequestsAt(const ServerName &server) const;
+
     /** Records that \a server answered, which revokes any assumption that it has crashed. */
     void serverAnswered(const ServerName &server);
 
--- a/src/libbulrush/process/serverreach.h
+++ b/src/libbulrush/process/serverreach.h
@@ -3,6 +3,7 @@
 #include "process/clock.h"
 #include "version/identifier.h"
 
+#include <array>
 #include <cstddef>
 #include <set>
 
@@ -24,8 +25,8 @@
     /** Sets how many servers there are. */
     void setServerCount(std::size_t count);
 
-    /** Records that a server answered, or that a connection to one was established. */
-    void recordReached(Instant now);
+    /** Records that \a server answered, or that a connection to it was established. */
+    void recordReached(const ServerName &server, Instant now);
 
     /** Records that a connection to \a server failed or was lost, or that it did not answer. */
     void recordFailure(const ServerName &server);
@@ -33,6 +34,12 @@
     /** \returns whether no server can be reached from here. */
     bool isOutOfReach() const;
 
+    /**
+     * \returns the server other than \a server that was reached last, which shows whether \a server
+     * or the path to it has failed; empty if there is none.
+     */
+    ServerName witnessFor(const ServerName &server) const;
+
     /** \returns how many servers failed since one was last reached. */
     std::size_t failedCount() const;
 
@@ -44,6 +51,8 @@
     /** Servers that failed since any server was last reached. */
     std::set<ServerName> m_failed;
     Instant m_lastReached;
+    /** The two servers that were reached last, the latest first. */
+    std::array<ServerName, 2> m_reachedServers;
 };
 
 inline std::size_t ServerReach::failedCount() const
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -152,11 +152,11 @@
         return; // the connection is to another daemon
     const ServerName server{run};
     if (event == io::ServerClient::ConnectionEvent::Connected)
-        recordServerReached();
+        recordServerReached(server);
     else
         recordServerFailure(server);
-    if (event == io::ServerClient::ConnectionEvent::Refused)
-        recordServerStopped(server, "refused");
+    if (event == io::ServerClient::ConnectionEvent::Refused && crashes.hasRequestsAt(server))
+        confirmStopped(server);
     if (event != io::ServerClient::ConnectionEvent::Lost)
         return;
     const ServerRecord *record = findServer(server);
@@ -168,6 +168,26 @@
     servers.ensureConnected(connectCall);
 }
 
+/**
+ * Concludes that \a server, whose address refuses connections, has stopped if another server can be
+ * connected to. Otherwise this daemon may have lost its paths; then the removal of the server's
+ * record decides.
+ */
+void ForwardContext::confirmStopped(const ServerName &server)
+{
+    if (reach.isOutOfReach())
+        return;
+    const ServerRecord *witness = findServer(reach.witnessFor(server));
+    if (!witness) {
+        recordServerStopped(server, "refused");
+        return;
+    }
+    probe(*witness, [this, server](bool isConnected) {
+        if (isConnected)
+            recordServerStopped(server, "refused");
+    });
+}
+
 const ServerRecord *ForwardContext::findServer(const ServerName &server) const
 {
     if (!state)
@@ -216,7 +236,7 @@
     return change;
 }
 
-void ForwardContext::recordServerReached()
+void ForwardContext::recordServerReached(const ServerName &server)
 {
     const Instant now = io::hostNow();
     if (reach.isOutOfReach()) {
@@ -224,7 +244,7 @@
                      {{"after-ms", io::millisecondsText(now - reach.lastReached())}});
         gauges.expireAvoidance(now);
     }
-    reach.recordReached(now);
+    reach.recordReached(server, now);
 }
 
 bool ForwardContext::isCutOff(Instant now) const
@@ -243,17 +263,24 @@
         probeNextServer(now);
 }
 
-void ForwardContext::probe(const ServerRecord &server)
+/** Connects to \a server without a request, and passes the result to \a handler. */
+void ForwardContext::probe(const ServerRecord &server,
+                           std::function<void(bool isConnected)> handler)
 {
     io::ServerCall connectCall;
     connectCall.server = server.address;
     connectCall.run = server.id.value();
-    servers.probe(connectCall, [this, id = server.id](bool isConnected) {
-        gauges.recordProbe(id, isConnected, io::hostNow());
-        if (isConnected)
-            recordServerReached();
-        scheduleDispatch();
-    });
+    servers.probe(connectCall,
+                  [this, id = server.id, handler = std::move(handler)](bool isConnected) {
+                      gauges.recordProbe(id, isConnected, io::hostNow());
+                      if (isConnected)
+                          recordServerReached(id);
+                      else
+                          recordServerFailure(id);
+                      if (handler)
+                          handler(isConnected);
+                      scheduleDispatch();
+                  });
 }
 
 /** Probes the servers in turn while none can be reached. */
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -116,8 +116,8 @@
     LimitChange recordLimit(const ServerName &server, const LimitStatement &statement, bool wasRun,
                             Instant sentAt);
 
-    /** Records that a server answered, or that a connection to one was established. */
-    void recordServerReached();
+    /** Records that \a server answered, or that a connection to it was established. */
+    void recordServerReached(const ServerName &server);
 
     /** Records that \a server could not be reached, or did not answer. */
     void recordServerFailure(const ServerName &server);
@@ -150,7 +150,8 @@
     void removeStaleLimits();
     void handleRemovedServers();
     void logRoutes(const RoutingState &published);
-    void probe(const ServerRecord &server);
+    void probe(const ServerRecord &server, std::function<void(bool isConnected)> handler = {});
+    void confirmStopped(const ServerName &server);
     void probeNextServer(Instant now);
 
     ConfigBudget m_configBudget;
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -464,7 +464,7 @@
 {
     const Instant now = io::hostNow();
     const io::HttpResponse &response = result.response;
-    m_context.recordServerReached();
+    m_context.recordServerReached(m_server);
     const platform::AnswerMetadata terms =
         platform::answerMetadata(response.status, response.headers, m_server);
     const bool isFailure = response.status >= firstServerError && !terms.isNotRun;
@@ -525,7 +525,7 @@
     if (isUnanswered(result.error))
         m_context.recordServerFailure(m_server);
     else
-        m_context.recordServerReached();
+        m_context.recordServerReached(m_server);
     m_context.gauges.attemptEnded(m_server,
                                   isUnsent ? AttemptOutcome::Unreached : AttemptOutcome::Silent,
                                   now - m_sentAt, std::nullopt, now);
--- /dev/null
+++ b/tests/forwardworker/trafficfixture.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "entryfleet/scriptedbackend.h"
+#include "forwardworker.h"
+#include "process/hostclock.h"
+#include "standinprocess/synchttpclient.h"
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace bulrush::test {
+
+inline const ServiceName trafficService{"payments"};
+
+/** \returns an address on the loopback interface that refuses connections. */
+inline Endpoint refusingAddress()
+{
+    asio::io_context loop;
+    const asio::ip::tcp::acceptor acceptor{loop, {asio::ip::address_v4::loopback(), 0}};
+    return {"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+inline Endpoint endpointOf(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    return {address.substr(0, colon),
+            static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
+}
+
+/** \returns the routes of version \a version: `/read/` is idempotent, all others run once. */
+inline std::shared_ptr<const RouteTable> routeTable(std::uint64_t version)
+{
+    Route once;
+    once.name = "once";
+    once.prefix = "/";
+    once.split = {{trafficService, 1}};
+    Route read = once;
+    read.name = "read";
+    read.prefix = "/read/";
+    read.kind = RequestKind::Idempotent;
+    read.maxAttempts = 2;
+    RoutingConfig config;
+    config.version = version;
+    config.services = {{trafficService, false, 110}};
+    config.hosts = {{"shop.example", {once, read}}};
+    return std::make_shared<const RouteTable>(std::move(config));
+}
+
+/** \returns the state of a daemon that knows the servers p0, p1, ... at \a servers. */
+inline std::shared_ptr<RoutingState> routingState(const std::vector<Endpoint> &servers,
+                                                  std::uint64_t version = 1)
+{
+    auto state = std::make_shared<RoutingState>();
+    state->routes = routeTable(version);
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        KnownServer server;
+        const ServerName id{"p" + std::to_string(i)};
+        server.record = {id, trafficService, servers[i], DomainName{"a"}, 3, false, {}};
+        server.firstSeen = io::hostNow();
+        state->servers[trafficService].push_back(server);
+    }
+    return state;
+}
+
+/** The traffic thread of one daemon. Not thread safe, but for send(). */
+class TrafficNode
+{
+public:
+    explicit TrafficNode(const std::string &host)
+        : m_settings(settingsOf(host))
+        , m_worker(m_settings, counters)
+    {
+        m_worker.setCrashHandlers({[this](const std::vector<CrashReport> &reports) {
+                                       reportCount += static_cast<int>(reports.size());
+                                   },
+                                   [](const RequestFingerprint &) {
+                                   }});
+        if (m_worker.listen())
+            throw std::runtime_error("a port is in use");
+        m_worker.start();
+    }
+
+    ~TrafficNode()
+    {
+        m_worker.stop();
+    }
+
+    TrafficNode(const TrafficNode &) = delete;
+    TrafficNode &operator=(const TrafficNode &) = delete;
+
+    void setState(std::shared_ptr<const RoutingState> state)
+    {
+        m_worker.setState(std::move(state));
+        m_worker.setFreshness({{io::hostNow(), true}, {io::hostNow(), true}});
+    }
+
+    RelayDaemon relay() const
+    {
+        return {m_settings.host, m_settings.domain, m_settings.relays};
+    }
+
+    /** Sends a request and waits for its answer. May be called by several threads. */
+    SyncHttpResult send(const std::string &path, const std::string &body = {},
+                        int deadlineMs = 2000)
+    {
+        static std::atomic<int> sent{0};
+        SyncHttpClient client;
+        SyncHttpRequest request;
+        request.method = body.empty() ? "GET" : "POST";
+        request.url = "127.0.0.1:" + std::to_string(m_worker.port()) + path;
+        request.body = body;
+        request.headers = {{"Host", "shop.example"},
+                           {"X-Bulrushswitch-Request-Id", "r" + std::to_string(++sent)},
+                           {"X-Bulrushswitch-Deadline-Ms", std::to_string(deadlineMs)}};
+        return client.send(request);
+    }
+
+    /** Stops the thread, as when the process is killed: its connections stay open, silent. */
+    void stop()
+    {
+        m_worker.stop();
+    }
+
+    std::uint16_t port() const
+    {
+        return m_worker.port();
+    }
+
+    EntryCounters counters;
+    std::atomic<int> reportCount{0};
+
+private:
+    static EntrySettings settingsOf(const std::string &host)
+    {
+        EntrySettings settings;
+        settings.host = HostName{host};
+        settings.domain = DomainName{host.substr(0, 1)};
+        settings.callers = {"127.0.0.1", 0};
+        settings.relays = refusingAddress();
+        return settings;
+    }
+
+    EntrySettings m_settings;
+    ForwardWorker m_worker;
+};
+
+/** \returns the value of the field \a name in \a head, or "". */
+inline std::string fieldOf(const std::string &head, const std::string &name)
+{
+    const std::size_t start = head.find(name + ": ");
+    if (start == std::string::npos)
+        return {};
+    const std::size_t value = start + name.size() + 2;
+    return head.substr(value, head.find("\r\n", value) - value);
+}
+
+/** \returns the head of an answer to the request with \a head, without the empty line. */
+inline std::string answerHead(const std::string &head)
+{
+    return "HTTP/1.1 200 OK\r\nX-Bulrushswitch-Request-Id: "
+        + fieldOf(head, "X-Bulrushswitch-Request-Id") + "\r\n";
+}
+
+} // namespace bulrush::test
