Show the paths to servers and the use of relays to operators; tests and pages of relays

/paths lists whether servers are in reach, which are not, and what went through which daemon. The test of unreachable owners now expects a probe where a caller's request was sent before, as requests no longer find out whether a server can be reached.

--- a/src/libbulrush/process/servergauges.cpp
+++ b/src/libbulrush/process/servergauges.cpp
@@ -164,6 +164,16 @@
         && (gauge->isUnconnectable || now < gauge->avoidedUntil);
 }
 
+std::vector<ServerName> ServerGauges::unreachableServers(Instant now) const
+{
+    std::vector<ServerName> servers;
+    for (const auto &[server, gauge] : m_gauges) {
+        if (isUnreachable(server, now))
+            servers.push_back(server);
+    }
+    return servers;
+}
+
 std::vector<ServerName> ServerGauges::takeDueProbes(std::size_t most, Instant now)
 {
     std::vector<ServerName> due;
--- a/src/libbulrush/process/servergauges.h
+++ b/src/libbulrush/process/servergauges.h
@@ -83,6 +83,9 @@
      */
     bool isUnreachable(const ServerName &server, Instant now) const;
 
+    /** \returns the servers for which isUnreachable() holds. */
+    std::vector<ServerName> unreachableServers(Instant now) const;
+
     /**
      * \returns at most \a most servers to which a connection should be tried now, because requests
      * could not connect to them. Each counts as tried.
--- a/src/libbulrush/request/relaychooser.cpp
+++ b/src/libbulrush/request/relaychooser.cpp
@@ -49,9 +49,12 @@
     return best;
 }
 
-void RelayChooser::recordSent(const HostName &host)
+void RelayChooser::recordSent(const HostName &host, Instant now)
 {
-    ++m_health[host].inFlight;
+    Health &health = m_health[host];
+    ++health.inFlight;
+    ++health.sent;
+    health.lastUsed = now;
 }
 
 void RelayChooser::recordEnded(const HostName &host)
@@ -67,10 +70,17 @@
     health.avoidedUntil = {};
 }
 
+void RelayChooser::recordAnswered(const HostName &host)
+{
+    ++m_health[host].answered;
+    recordUsable(host);
+}
+
 void RelayChooser::recordUnusable(const HostName &host, Instant now)
 {
     constexpr int maxDoublings = 3;
     Health &health = m_health[host];
+    ++health.refused;
     // Several requests may have been in flight when the daemon failed; they count once.
     if (now < health.avoidedUntil)
         return;
@@ -80,21 +90,17 @@
 
 void RelayChooser::recordDenied(const HostName &host, const std::string &target, Instant now)
 {
+    ++m_health[host].refused;
     m_deniedUntil[{target, host}] = now + denialPeriod;
 }
 
-std::size_t RelayChooser::inFlightCount() const
+std::vector<RelayChooser::Use> RelayChooser::uses(Instant now) const
 {
-    std::size_t count = 0;
+    std::vector<Use> uses;
     for (const auto &[host, health] : m_health)
-        count += health.inFlight;
-    return count;
-}
-
-std::size_t RelayChooser::avoidedCount(Instant now) const
-{
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_health, [now](const auto &entry) { return now < entry.second.avoidedUntil; }));
+        uses.push_back({host, health.inFlight, health.sent, health.answered, health.refused,
+                        std::max(Duration::zero(), health.avoidedUntil - now)});
+    return uses;
 }
 
 void RelayChooser::removeExpired(Instant now)
@@ -102,7 +108,8 @@
     std::erase_if(m_deniedUntil, [now](const auto &entry) { return entry.second <= now; });
     std::erase_if(m_health, [now](const auto &entry) {
         const Health &health = entry.second;
-        return health.inFlight == 0 && now >= health.avoidedUntil + maxAvoidance;
+        return health.inFlight == 0 && now >= health.avoidedUntil + maxAvoidance
+            && now - health.lastUsed > useRetention;
     });
 }
 
--- a/src/libbulrush/request/relaychooser.h
+++ b/src/libbulrush/request/relaychooser.h
@@ -58,7 +58,7 @@
     const RelayDaemon *choose(const RelayDemand &demand, Instant now) const;
 
     /** Records that a request is sent to \a host. */
-    void recordSent(const HostName &host);
+    void recordSent(const HostName &host, Instant now);
 
     /** Records that \a host has the request no longer, whatever its outcome. */
     void recordEnded(const HostName &host);
@@ -66,17 +66,30 @@
     /** Records that \a host handled a request. */
     void recordUsable(const HostName &host);
 
+    /** Records that a server answered a request that was relayed through \a host. */
+    void recordAnswered(const HostName &host);
+
     /** Records that \a host did not answer, or can't reach any server. */
     void recordUnusable(const HostName &host, Instant now);
 
     /** Records that \a host can't reach \a target. */
     void recordDenied(const HostName &host, const std::string &target, Instant now);
 
-    /** \returns how many relayed requests are in flight. */
-    std::size_t inFlightCount() const;
+    /** What was relayed through one daemon lately. */
+    struct Use
+    {
+        HostName host;
+        std::size_t inFlight = 0;
+        std::uint64_t sent = 0;
+        std::uint64_t answered = 0;
+        /** Requests that it could not help with. */
+        std::uint64_t refused = 0;
+        /** How much longer it is avoided; zero if it is not. */
+        Duration avoidedFor{};
+    };
 
-    /** \returns how many daemons are avoided at \a now. */
-    std::size_t avoidedCount(Instant now) const;
+    /** \returns the use of the daemons through which requests were relayed lately, by host. */
+    std::vector<Use> uses(Instant now) const;
 
     /** Removes expired entries. To be called periodically. */
     void removeExpired(Instant now);
@@ -85,10 +98,17 @@
     struct Health
     {
         std::size_t inFlight = 0;
+        std::uint64_t sent = 0;
+        std::uint64_t answered = 0;
+        std::uint64_t refused = 0;
         int consecutiveFailures = 0;
         Instant avoidedUntil;
+        Instant lastUsed;
     };
 
+    /** How long the use of a daemon is kept after its last request. */
+    static constexpr Duration useRetention = std::chrono::minutes{10};
+
     bool isUsable(const RelayDaemon &daemon, const RelayDemand &demand, Instant now) const;
     bool isDenied(const HostName &host, const std::string &target, Instant now) const;
     std::size_t deniedCount(const std::string &target, Instant now) const;
--- a/src/libbulrushentry/entrypages.cpp
+++ b/src/libbulrushentry/entrypages.cpp
@@ -25,6 +25,8 @@
 constexpr std::string_view evacuationsPath = "/evacuations";
 /** The page of the limits that servers name. */
 constexpr std::string_view limitsPath = "/limits";
+/** The page of servers that are out of reach, and of relayed requests. */
+constexpr std::string_view pathsPath = "/paths";
 /** The page of requests during which servers crashed, for operators. */
 constexpr std::string_view quarantinePath = "/quarantine";
 /** Followed by the fingerprint of the request to admit again. */
@@ -64,13 +66,16 @@
         answerEvacuations(writer);
     else if (target == limitsPath)
         answerLimits(writer);
+    else if (target == pathsPath)
+        answerPaths(writer);
     else if (target == quarantinePath)
         writer->send(io::plainTextResponse(ok, m_sources.crashes.page()));
     else if (target.starts_with(liftPath))
         writer->send(lift(request));
     else
         writer->send(io::plainTextResponse(
-            notFound, "pages: /readyz, /metrics, /status, /evacuations, /limits, /quarantine\n"));
+            notFound,
+            "pages: /readyz, /metrics, /status, /evacuations, /limits, /paths, /quarantine\n"));
 }
 
 /** Answers with the evacuations and the use of the servers, for `bulrushctl evacuation`. */
@@ -97,6 +102,15 @@
     });
 }
 
+void EntryPages::answerPaths(const std::shared_ptr<io::ResponseWriter> &writer)
+{
+    m_sources.worker.collectPaths([this, writer](std::string text) {
+        asio::post(m_sources.loop, [writer, text = std::move(text)]() mutable {
+            writer->send(io::plainTextResponse(ok, std::move(text)));
+        });
+    });
+}
+
 std::string EntryPages::limitsText(const std::map<ServerName, KnownLimit> &limits) const
 {
     const Instant now = io::hostNow();
--- a/src/libbulrushentry/entrypages.h
+++ b/src/libbulrushentry/entrypages.h
@@ -59,6 +59,7 @@
 private:
     void answerEvacuations(const std::shared_ptr<io::ResponseWriter> &writer);
     void answerLimits(const std::shared_ptr<io::ResponseWriter> &writer);
+    void answerPaths(const std::shared_ptr<io::ResponseWriter> &writer);
     std::string limitsText(const std::map<ServerName, KnownLimit> &limits) const;
     io::HttpResponse lift(const io::IncomingRequest &request);
     std::string metricsText() const;
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -252,6 +252,22 @@
     return reach.isOutOfReach() && now - relayAnsweredAt < relayEvidencePeriod;
 }
 
+std::string ForwardContext::pathsText(Instant now) const
+{
+    std::string text = std::string{"servers: "}
+        + (reach.isOutOfReach() ? "out-of-reach" : "reached")
+        + " reached-ms-ago=" + io::millisecondsText(now - reach.lastReached())
+        + " failed=" + std::to_string(reach.failedCount()) + '\n';
+    for (const ServerName &server : gauges.unreachableServers(now))
+        text += "unreachable: " + server.value() + '\n';
+    for (const RelayChooser::Use &use : relays.uses(now))
+        text += "relay: " + use.host.value() + " in-flight=" + std::to_string(use.inFlight)
+            + " sent=" + std::to_string(use.sent) + " answered=" + std::to_string(use.answered)
+            + " refused=" + std::to_string(use.refused)
+            + " avoided-ms=" + io::millisecondsText(use.avoidedFor) + '\n';
+    return text;
+}
+
 void ForwardContext::probeServers(Instant now)
 {
     relays.removeExpired(now);
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -126,6 +126,9 @@
      */
     bool isCutOff(Instant now) const;
 
+    /** \returns which servers are out of reach, and the use of relays, for the operators' page. */
+    std::string pathsText(Instant now) const;
+
     /** Tries to connect to servers that could not be reached. To be called often. */
     void probeServers(Instant now);
 
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -161,6 +161,13 @@
                [this, handler = std::move(handler)] { handler(m_context.limits.limits()); });
 }
 
+void ForwardWorker::collectPaths(TextHandler handler)
+{
+    asio::post(m_loop, [this, handler = std::move(handler)] {
+        handler(m_context.pathsText(io::hostNow()));
+    });
+}
+
 void ForwardWorker::stop()
 {
     if (!m_thread.joinable())
--- a/src/libbulrushentry/forwardworker.h
+++ b/src/libbulrushentry/forwardworker.h
@@ -93,6 +93,11 @@
     /** Passes the known limits of servers to \a handler, on the traffic thread. Thread safe. */
     void collectLimits(LimitsHandler handler);
 
+    using TextHandler = std::function<void(std::string)>;
+
+    /** Passes the text of the page of paths to \a handler, on the traffic thread. Thread safe. */
+    void collectPaths(TextHandler handler);
+
     /** \returns how many requests have no answer yet. Thread safe. */
     std::size_t openCount() const;
 
--- a/src/libbulrushentry/peerrelay.cpp
+++ b/src/libbulrushentry/peerrelay.cpp
@@ -51,7 +51,7 @@
     call.connectTimeout = connectTimeout;
     call.timeout = left + std::chrono::seconds{1};
     call.sendDeadline = m_request.answerBy - RequestQueue::minServiceTime;
-    m_context.relays.recordSent(m_host);
+    m_context.relays.recordSent(m_host, io::hostNow());
     m_context.counters.add(EntryCounter::RelaysSent);
     m_call = m_context.servers.send(
         std::move(call),
@@ -112,7 +112,7 @@
     switch (outcome) {
     case RelayOutcome::Answered:
         m_context.counters.add(EntryCounter::RelaysAnswered);
-        m_context.relays.recordUsable(m_host);
+        m_context.relays.recordAnswered(m_host);
         m_context.relayAnsweredAt = now;
         return;
     case RelayOutcome::Denied:
--- a/tests/requestqueue/test_requestqueue.cpp
+++ b/tests/requestqueue/test_requestqueue.cpp
@@ -241,7 +241,13 @@
     std::map<std::uint64_t, GiveUpReason> givenUpReasons;
     BOOST_TEST(dispatch(start, &givenUpReasons).empty());
     BOOST_TEST((givenUpReasons.at(1) == GiveUpReason::Unreachable));
-    // Later, a single request checks whether the owner is reachable again.
+    // No request, but a probe, checks whether the owner can be reached again.
+    queue.add(keyedRequest(5, start + 900ms));
+    BOOST_TEST(dispatch(start + 900ms, &givenUpReasons).empty());
+    BOOST_TEST((givenUpReasons.at(2) == GiveUpReason::Unreachable));
+    BOOST_TEST(gauges.takeDueProbes(4, start + 900ms).size() == 1U);
+    gauges.recordProbe(ServerName{"c1"}, true, start + 900ms);
+    // Then a single request checks whether it answers.
     queue.add(keyedRequest(5, start + 900ms));
     queue.add(keyedRequest(6, start + 900ms));
     BOOST_TEST(dispatch(start + 900ms).size() == 1U);
@@ -420,3 +426,38 @@
     dispatch(start, &givenUpReasons);
     BOOST_TEST((givenUpReasons.at(3) == GiveUpReason::Limited));
 }
+
+BOOST_FIXTURE_TEST_CASE(nothingWaitsWhileNoServerIsInReach, Fixture)
+{
+    reach.setServerCount(4);
+    for (const std::string id : {"p1", "p2", "c1"})
+        reach.recordFailure(ServerName{id});
+    queue.add(request(plain, start));
+    queue.add(keyedRequest(5, start));
+    const auto givenUp = queue.dispatch(
+        state, start, [](std::uint64_t, const ServerRecord &) { BOOST_ERROR("sent"); });
+    BOOST_REQUIRE(givenUp.size() == 2U);
+    for (const GivenUp &request : givenUp)
+        BOOST_TEST((request.reason == GiveUpReason::Unreachable));
+}
+
+BOOST_FIXTURE_TEST_CASE(unreachableServersAreLeftOutWhileOthersAreReachable, Fixture)
+{
+    for (int i = 0; i < 2; ++i)
+        gauges.attemptEnded(ServerName{"p1"}, AttemptOutcome::Unreached, 0ms, std::nullopt, start);
+    for (int i = 0; i < 8; ++i)
+        queue.add(request(plain, start));
+    std::set<ServerName> used;
+    const auto givenUp = queue.dispatch(state, start, [&](std::uint64_t, const ServerRecord &to) {
+        used.insert(to.id);
+        gauges.attemptStarted(to.id, start);
+    });
+    BOOST_TEST(givenUp.empty());
+    BOOST_TEST((used == std::set<ServerName>{ServerName{"p2"}}));
+    for (int i = 0; i < 2; ++i)
+        gauges.attemptEnded(ServerName{"p2"}, AttemptOutcome::Unreached, 0ms, std::nullopt, start);
+    const auto later = queue.dispatch(
+        state, start, [](std::uint64_t, const ServerRecord &) { BOOST_ERROR("sent"); });
+    BOOST_REQUIRE(!later.empty());
+    BOOST_TEST((later.front().reason == GiveUpReason::Unreachable));
+}
--- a/tests/requestqueue/test_servergauges.cpp
+++ b/tests/requestqueue/test_servergauges.cpp
@@ -214,3 +214,38 @@
 {
     checkFleet<40>();
 }
+
+BOOST_AUTO_TEST_CASE(serverWithoutAConnectionStaysUnreachableUntilAProbeConnects)
+{
+    ServerGauges gauges;
+    Instant now = start;
+    for (int i = 0; i < 2; ++i) {
+        gauges.attemptStarted(server, now);
+        gauges.attemptEnded(server, AttemptOutcome::Unreached, 0ms, std::nullopt, now);
+    }
+    BOOST_TEST(gauges.isUnreachable(server, now));
+    BOOST_TEST(gauges.takeDueProbes(4, now).empty());
+    now += 1min;
+    BOOST_TEST(gauges.isUnreachable(server, now));
+    BOOST_TEST(gauges.takeDueProbes(4, now).size() == 1U);
+    BOOST_TEST(gauges.takeDueProbes(4, now).empty());
+    gauges.recordProbe(server, false, now);
+    BOOST_TEST(gauges.takeDueProbes(4, now + ServerGauges::initialAvoidance).empty());
+    gauges.expireAvoidance(now);
+    BOOST_TEST(gauges.takeDueProbes(4, now).size() == 1U);
+    gauges.recordProbe(server, true, now);
+    BOOST_TEST(!gauges.isUnreachable(server, now));
+    BOOST_TEST(gauges.takeDueProbes(4, now + 1min).empty());
+}
+
+BOOST_AUTO_TEST_CASE(silentServerIsTriedAgainByRequests)
+{
+    ServerGauges gauges;
+    for (int i = 0; i < 2; ++i) {
+        gauges.attemptStarted(server, start);
+        gauges.attemptEnded(server, AttemptOutcome::Silent, 0ms, std::nullopt, start);
+    }
+    BOOST_TEST(gauges.isUnreachable(server, start));
+    BOOST_TEST(gauges.takeDueProbes(4, start + 1min).empty());
+    BOOST_TEST(!gauges.isUnreachable(server, start + ServerGauges::maxAvoidance));
+}
