Leave a limited server some requests, and give keys back when its limit has ended

Causes, each with a test of the planner that is red before: several hot keys were moved off in one piece, as a tie in size went to the larger piece; and nothing gave keys back, since the other servers were not overloaded. A piece that would leave a server with a limit hardly any request is not moved; a hot key that it can nearly serve stays.

--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -392,7 +392,8 @@
         }
         if (server.record.coldRemaining > Duration::zero())
             capacity *= coldCapacityFactor;
-        ready.push_back({id, capacity, limit});
+        const bool isRecovered = load != m_loads.end() && load->second.isRecovered(id, now);
+        ready.push_back({id, capacity, limit, isRecovered});
     }
     const auto total = static_cast<double>(ready.size() + cold.size());
     if (static_cast<double>(cold.size()) > maxExcludedColdFraction * total)
--- a/src/libbulrush/version/keyplanner.cpp
+++ b/src/libbulrush/version/keyplanner.cpp
@@ -28,6 +28,7 @@
     {
         double capacity = 1.0;
         bool hasLimit = false;
+        bool isRecovered = false;
         /** The load that it should have. */
         double target = 0.0;
         double load = 0.0;
@@ -44,6 +45,7 @@
     bool isOverloaded(const Share &share) const;
     bool moveFromMostLoaded();
     bool moveFrom(const ServerName &from, double load, const ServerName &to);
+    bool wouldStarve(const OwnedRange &moved) const;
     bool moveMostLoadedRange(const ServerName &from);
     std::vector<std::size_t> rangesByLoad(const ServerName &owner) const;
     ServerName mostLoaded() const;
@@ -75,6 +77,7 @@
     for (const KeyServer &server : servers) {
         m_shares[server.id].capacity = std::max(minCapacity, server.usableCapacity());
         m_shares[server.id].hasLimit = server.limit.has_value();
+        m_shares[server.id].isRecovered = server.isRecovered;
     }
     for (const OwnedRange &owned : current.ranges) {
         const auto share = m_shares.find(owned.owner);
@@ -275,16 +278,20 @@
         ->first;
 }
 
-/** Moves keys from the most loaded server to one without keys. */
+/** Moves keys from the most loaded server to one that has none, or few since it named a limit. */
 bool Round::fillNewServer()
 {
-    const auto newServer =
-        std::ranges::find_if(m_shares, [](const auto &entry) { return entry.second.ranges == 0; });
+    const auto newServer = std::ranges::find_if(m_shares, [](const auto &entry) {
+        const Share &share = entry.second;
+        return share.ranges == 0
+            || (share.isRecovered && share.load < KeyPlanner::recoveredFill * share.target);
+    });
     if (newServer == m_shares.end())
         return false;
     const ServerName from = mostLoaded();
+    const Share &share = newServer->second;
     const double wanted =
-        std::min(KeyPlanner::newServerFill * newServer->second.target, m_shares[from].load / 2);
+        std::min(KeyPlanner::newServerFill * share.target - share.load, m_shares[from].load / 2);
     return from != newServer->first && moveFrom(from, wanted, newServer->first);
 }
 
@@ -345,7 +352,30 @@
 bool Round::moveFrom(const ServerName &from, double load, const ServerName &to)
 {
     const std::vector<std::size_t> candidates = rangesByLoad(from);
-    return std::ranges::any_of(candidates, [&](std::size_t i) { return splitOff(i, load, to); });
+    const auto move = [&](double wanted) {
+        return std::ranges::any_of(candidates,
+                                   [&](std::size_t i) { return splitOff(i, wanted, to); });
+    };
+    if (move(load))
+        return true;
+    // A server that names a limit keeps some load, so that a smaller piece may have to do.
+    return m_shares[from].hasLimit && load / 2 > KeyPlanner::minLimitedLoad && move(load / 2);
+}
+
+/**
+ * \returns whether the server that owns \a moved names a limit and would get hardly any requests
+ * without \a moved.
+ */
+bool Round::wouldStarve(const OwnedRange &moved) const
+{
+    if (!m_shares.at(moved.owner).hasLimit)
+        return false;
+    double remaining = -m_rates.of(moved.range);
+    for (const OwnedRange &owned : m_next.ranges) {
+        if (owned.owner == moved.owner)
+            remaining += m_rates.of(owned.range);
+    }
+    return remaining < KeyPlanner::minLimitedLoad;
 }
 
 /** \returns the ranges of \a owner that were not moved in this round, the most loaded first. */
@@ -380,6 +410,8 @@
     Share &source = m_shares[from];
     Share &target = to->second;
     const double load = loadOf(owned.range);
+    if (load <= KeyPlanner::overloadFactor * source.capacity && wouldStarve(owned))
+        return false;
     if (to->first == from
         || (target.load + load) / target.capacity >= source.load / source.capacity)
         return false;
@@ -412,7 +444,7 @@
     const double movedLoad = loadOf(moved.range);
     // A piece with much more load than requested would only shift the overload, and one with far
     // less load is not worth a move.
-    if (movedLoad > 1.5 * load + 0.5 || movedLoad < load / 8)
+    if (movedLoad > 1.5 * load + 0.5 || movedLoad < load / 8 || wouldStarve(moved))
         return false;
     if (m_shares[from].ranges >= KeyPlanner::maxRangesPerServer
         && m_shares[to].ranges >= KeyPlanner::maxRangesPerServer)
--- a/src/libbulrush/version/keyplanner.h
+++ b/src/libbulrush/version/keyplanner.h
@@ -18,6 +18,8 @@
     double capacity = 1.0;
     /** Requests per second that it takes, if it names a limit. */
     std::optional<double> limit = std::nullopt;
+    /** It named a limit until recently, for which it may have lost its keys. */
+    bool isRecovered = false;
 
     /** \returns the requests per second that it can serve now. */
     double usableCapacity() const;
@@ -61,6 +63,16 @@
     static constexpr double newServerFill = 0.6;
     /** Maximum share of a server that names a limit, as a fraction of the limit. */
     static constexpr double limitFill = 0.5;
+    /**
+     * Requests per second that a server which names a limit keeps if it can serve them, as only
+     * answers tell when the limit ends.
+     */
+    static constexpr double minLimitedLoad = 0.25;
+    /**
+     * A server whose limit has ended is filled like a new one if it has less than this fraction of
+     * its share, as the others may not be loaded enough to give keys back.
+     */
+    static constexpr double recoveredFill = 0.4;
     /** A key that alone overloads its owner moves to a server that is faster by this factor. */
     static constexpr double hotKeySpeedup = 1.25;
     /** A range is not divided into pieces smaller than this fraction of a share. */
--- a/src/libbulrush/version/serviceload.cpp
+++ b/src/libbulrush/version/serviceload.cpp
@@ -60,6 +60,16 @@
     return limit->second.perSecond;
 }
 
+bool ServiceLoad::isRecovered(const ServerName &server, Instant now) const
+{
+    const auto limit = m_limits.find(server);
+    if (limit == m_limits.end())
+        return false;
+    const Instant endedAt =
+        limit->second.statedAt + (limit->second.perSecond ? limitValidity : Duration::zero());
+    return now >= endedAt && now - endedAt <= recoveryPeriod;
+}
+
 KeyTraffic ServiceLoad::traffic(Instant now)
 {
     std::vector<double> rates = m_steady.rates(now);
--- a/src/libbulrush/version/serviceload.h
+++ b/src/libbulrush/version/serviceload.h
@@ -69,6 +69,9 @@
      */
     static constexpr Duration limitValidity = std::chrono::seconds{10};
 
+    /** For this long after its limit has ended, a server counts as recovered. */
+    static constexpr Duration recoveryPeriod = std::chrono::seconds{10};
+
     explicit ServiceLoad(Instant start);
 
     void add(const LoadSample &sample, Instant now);
@@ -85,6 +88,9 @@
     /** \returns the requests per second that \a server takes, if it names a limit. */
     std::optional<double> limitOf(const ServerName &server, Instant now) const;
 
+    /** \returns whether \a server named a limit that has ended, or expired, recently. */
+    bool isRecovered(const ServerName &server, Instant now) const;
+
 private:
     struct Speed
     {
--- a/tests/keydecisions/test_keyplanner.cpp
+++ b/tests/keydecisions/test_keyplanner.cpp
@@ -297,3 +297,36 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(serverThatNamesALimitKeepsOneOfSeveralHotKeys)
+{
+    // All load is on 16 positions, so that it can't be divided as finely as the limit asks.
+    constexpr double limit = 2.5;
+    constexpr KeyPosition hotKeys = 16;
+    KeyTraffic load{std::vector<double>(keyPositionCount, 0.0), 8.0};
+    for (KeyPosition i = 0; i < hotKeys; ++i)
+        load.rates[i * (keyPositionCount / hotKeys) + 100] = limit;
+    std::vector<KeyServer> all = servers(4, 35.0);
+    const KeyAssignment before = balanced(evenly(4), all, load);
+    all[1].limit = limit;
+    const double share = shares(balanced(before, all, load), load)["s1"];
+    BOOST_TEST(share > 0.0);
+    BOOST_TEST(share <= KeyPlanner::overloadFactor * limit);
+}
+
+BOOST_AUTO_TEST_CASE(serverGetsKeysBackAfterItsLimitHasEnded)
+{
+    // The other servers are not busy, so that none of them has to give keys away.
+    for (const double rate : {20.0, 40.0, 270.0}) {
+        std::vector<KeyServer> all = servers(4, 200.0);
+        const KeyTraffic load = traffic(rate);
+        all[1].limit = 0.5;
+        const KeyAssignment limited = balanced(evenly(4), all, load);
+        BOOST_TEST(shares(limited, load)["s1"] < rate / 8, rate);
+        all[1].limit.reset();
+        all[1].isRecovered = true;
+        const KeyAssignment after = balanced(limited, all, load);
+        BOOST_TEST(shares(after, load)["s1"] > KeyPlanner::recoveredFill * rate / 4, rate);
+        BOOST_TEST(shares(after, load)["s1"] < rate / 4 * KeyPlanner::overloadFactor, rate);
+    }
+}
