Issue fewer permits while daemons disagree about who exists

Cause: two daemons each take themselves for the primary issuer, and some daemons agree with each. A query now states a digest of the daemons that its sender knows. An issuer that has seen other digests for more than a second issues the backup's part, until none came for 4 s.

--- a/src/libbulrush/process/permit.h
+++ b/src/libbulrush/process/permit.h
@@ -3,6 +3,7 @@
 #include "process/clock.h"
 #include "version/identifier.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace bulrush {
@@ -31,6 +32,8 @@
     Duration maxWait{};
     /** The role of the queried daemon by the daemons that the querying one knows. */
     IssuerRole role = IssuerRole::Primary;
+    /** Digest of the daemons that the querying one knows; nothing if it states none. */
+    std::optional<std::uint64_t> view = std::nullopt;
 
     bool operator==(const PermitQuery &) const = default;
 };
--- a/src/libbulrush/process/permitissuer.cpp
+++ b/src/libbulrush/process/permitissuer.cpp
@@ -37,14 +37,18 @@
     return rank == backupRank ? IssuerRole::Backup : IssuerRole::None;
 }
 
-PermitAnswer PermitIssuer::answer(const PermitQuery &query, IssuerRole ownRole, Instant now)
+PermitAnswer PermitIssuer::answer(const PermitQuery &query, IssuerRole ownRole, Instant now,
+                                  std::uint64_t ownView)
 {
     Server &server = m_servers[query.server];
     server.lastQuery = now;
     applyStatement(server, query, now);
     if (!server.perSecond)
         return {PermitOutcome::LimitEnded, Duration::zero()};
-    const IssuerRole role = std::min(query.role, ownRole);
+    const bool isSameView = query.view.value_or(ownView) == ownView;
+    const IssuerRole most =
+        isDisputed(server, isSameView, now) ? IssuerRole::Backup : IssuerRole::Primary;
+    const IssuerRole role = std::min({query.role, ownRole, most});
     const Duration interval = intervalOf(*server.perSecond, role);
     if (role == IssuerRole::None)
         return {PermitOutcome::Refused, interval};
@@ -62,6 +66,18 @@
     return {PermitOutcome::Granted, wait};
 }
 
+/** Records a query. \returns whether daemons have disagreed for long about who exists. */
+bool PermitIssuer::isDisputed(Server &server, bool isSameView, Instant now)
+{
+    if (server.disagreesSince && now - server.disagreedAt > agreementPeriod)
+        server.disagreesSince.reset();
+    if (!isSameView) {
+        server.disagreesSince = server.disagreesSince.value_or(now);
+        server.disagreedAt = now;
+    }
+    return server.disagreesSince && now - *server.disagreesSince >= toleratedDisagreement;
+}
+
 /** Applies the limit in \a query, unless a later statement of the server is known. */
 void PermitIssuer::applyStatement(Server &server, const PermitQuery &query, Instant now)
 {
--- a/src/libbulrush/process/permitissuer.h
+++ b/src/libbulrush/process/permitissuer.h
@@ -60,11 +60,20 @@
     /** \returns the role of the daemon with \a rank in the order for a server. */
     static IssuerRole roleOf(std::optional<std::size_t> rank);
 
+    /**
+     * Daemons that know different daemons may take different ones for the primary. If they still do
+     * after this time, each primary issues only the backup's part.
+     */
+    static constexpr Duration toleratedDisagreement = std::chrono::seconds{1};
+    /** Daemons agree again once no query has shown a different view for this long. */
+    static constexpr Duration agreementPeriod = std::chrono::seconds{4};
+
     /**
      * Answers \a query, which arrived at \a now, and counts a granted permit. \a ownRole is the
-     * role of this daemon by the daemons that it knows.
+     * role of this daemon by the daemons that it knows, and \a ownView their digest.
      */
-    PermitAnswer answer(const PermitQuery &query, IssuerRole ownRole, Instant now);
+    PermitAnswer answer(const PermitQuery &query, IssuerRole ownRole, Instant now,
+                        std::uint64_t ownView = 0);
 
     /** \returns the number of permits granted for all servers. */
     std::uint64_t grantedCount() const;
@@ -85,10 +94,14 @@
         /** When the next permit would be due if permits were issued evenly. */
         Instant nextDue;
         Instant lastQuery;
+        /** The first and the last query of daemons that know other daemons than this one. */
+        std::optional<Instant> disagreesSince;
+        Instant disagreedAt;
         /** When the permits issued lately became or become valid, in order. */
         std::deque<Instant> recent;
     };
 
+    static bool isDisputed(Server &server, bool isSameView, Instant now);
     void applyStatement(Server &server, const PermitQuery &query, Instant now);
 
     std::map<ServerName, Server> m_servers;
--- a/src/libbulrush/process/rendezvousorder.cpp
+++ b/src/libbulrush/process/rendezvousorder.cpp
@@ -57,4 +57,14 @@
     return hosts;
 }
 
+std::uint64_t digestOf(std::span<const DaemonLocation> daemons)
+{
+    std::uint64_t digest = 0;
+    for (const DaemonLocation &daemon : daemons) {
+        const std::string &host = daemon.host.value();
+        digest += XXH3_64bits(host.data(), host.size());
+    }
+    return digest;
+}
+
 } // namespace bulrush
--- a/src/libbulrush/process/rendezvousorder.h
+++ b/src/libbulrush/process/rendezvousorder.h
@@ -4,6 +4,7 @@
 #include "version/identifier.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <vector>
@@ -38,4 +39,7 @@
     DomainName m_domain;
 };
 
+/** \returns a digest of the hosts of \a daemons, whatever their order. Thread safe. */
+std::uint64_t digestOf(std::span<const DaemonLocation> daemons);
+
 } // namespace bulrush
--- a/src/libbulrushentry/permitcontrol.cpp
+++ b/src/libbulrushentry/permitcontrol.cpp
@@ -37,6 +37,7 @@
         m_daemons.push_back({daemon.host, daemon.row.domain});
         m_addresses[daemon.host] = daemon.row.address;
     }
+    m_view = digestOf(m_daemons);
 }
 
 void PermitControl::query(const PermitQuery &query, AnswerHandler handler)
@@ -48,7 +49,7 @@
 {
     const RendezvousOrder order{query.server, query.domain};
     const IssuerRole role = PermitIssuer::roleOf(order.rankOf(m_self, m_daemons));
-    return m_issuer.answer(query, role, io::hostNow());
+    return m_issuer.answer(query, role, io::hostNow(), m_view);
 }
 
 std::string PermitControl::metricsText() const
@@ -86,6 +87,7 @@
         return;
     }
     query.role = issuers.front().role;
+    query.view = m_view;
     if (issuers.front().host == m_self) {
         handler(answer(query));
         return;
--- a/src/libbulrushentry/permitcontrol.h
+++ b/src/libbulrushentry/permitcontrol.h
@@ -70,6 +70,8 @@
     HostName m_self;
     PermitIssuer m_issuer;
     std::vector<DaemonLocation> m_daemons;
+    /** Digest of m_daemons. */
+    std::uint64_t m_view = 0;
     std::map<HostName, Endpoint> m_addresses;
     /** Daemons that did not answer, and until when they are not queried. */
     std::map<HostName, Instant> m_avoidedUntil;
--- a/src/libbulrushio/process/permitcodec.cpp
+++ b/src/libbulrushio/process/permitcodec.cpp
@@ -48,6 +48,8 @@
     json["statedAgo"] = jsonOf(query.statedAgo);
     json["maxWait"] = jsonOf(query.maxWait);
     json["asBackup"] = query.role == IssuerRole::Backup;
+    if (query.view)
+        json["view"] = Json::UInt64{*query.view};
     return toCompactJson(json);
 }
 
@@ -61,6 +63,9 @@
     query.statedAgo = reader.span("statedAgo");
     query.maxWait = reader.span("maxWait");
     query.role = reader.flag("asBackup") ? IssuerRole::Backup : IssuerRole::Primary;
+    // Older daemon versions state no view.
+    if (json["view"].isUInt64())
+        query.view = json["view"].asUInt64();
     if (!reader.isValid() || query.statedAgo < Duration::zero())
         return std::nullopt;
     if (!json.isMember("perSecond"))
--- a/tests/requestqueue/permitfleet.h
+++ b/tests/requestqueue/permitfleet.h
@@ -77,13 +77,14 @@
     PermitAnswer query(const HostName &from, PermitQuery query, Instant now)
     {
         const RendezvousOrder order{server, domain};
+        query.view = digestOf(views[from]);
         std::size_t rank = 0;
         for (const HostName &issuer : order.first(2, views[from])) {
             query.role = PermitIssuer::roleOf(rank++);
             if (isSilent(issuer, now))
                 continue;
             const IssuerRole role = PermitIssuer::roleOf(order.rankOf(issuer, views[issuer]));
-            return issuers[issuer].answer(query, role, now);
+            return issuers[issuer].answer(query, role, now, digestOf(views[issuer]));
         }
         return {};
     }
