--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -21,6 +21,11 @@
 namespace {
 
 constexpr int keyCount = 65'536;
+/**
+ * Last part of the servers' address, from which no connection leaves: otherwise a connection could
+ * use the port of a server that is about to restart.
+ */
+const std::string serverHostPart = "254";
 
 std::string binaryPath(const std::string &name)
 {
@@ -138,7 +143,7 @@
 {
     std::vector<std::string> arguments{
         "--id",         server.id,
-        "--listen",     server.address.empty() ? "127.0.0.1:0" : server.address,
+        "--listen",     server.address.empty() ? m_prefix + serverHostPart + ":0" : server.address,
         "--slots",      std::to_string(server.slots),
         "--service-ms", std::to_string(server.serviceMs),
         "--clock-ppm",  "20000"};
