Move refusals out of ForwardExchange; do not take closed idle connections for lost paths

A loss of the last connection to a server no longer counts as a failure to reach it, as servers close idle ones; refused connections, attempts without an answer and failed probes do.

--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -153,10 +153,12 @@
     const ServerName server{run};
     if (event == io::ServerClient::ConnectionEvent::Connected)
         recordServerReached(server);
-    else
+    if (event == io::ServerClient::ConnectionEvent::Refused) {
         recordServerFailure(server);
-    if (event == io::ServerClient::ConnectionEvent::Refused && crashes.hasRequestsAt(server))
-        confirmStopped(server);
+        if (crashes.hasRequestsAt(server))
+            confirmStopped(server);
+    }
+    // A server may just have closed an idle connection, so that a loss says nothing about paths.
     if (event != io::ServerClient::ConnectionEvent::Lost)
         return;
     const ServerRecord *record = findServer(server);
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -6,13 +6,12 @@
 #include "process/hostclock.h"
 #include "process/logging.h"
 #include "process/permitissuer.h"
+#include "refusal.h"
 
 #include <asio/post.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <utility>
 
 namespace bulrush {
@@ -35,9 +34,6 @@
 constexpr Duration refusedDelay = std::chrono::milliseconds{20};
 /** Attempts after which a request is not sent again, even if none of them ran. */
 constexpr int maxTotalAttempts = 6;
-/** Refused callers are to retry after the minimum time plus a part of the spread. */
-constexpr double minRetryAfterSeconds = 0.25;
-constexpr double retryAfterSpreadSeconds = 0.5;
 /** Subtracted from the time left for backend servers, so that their answers arrive in time. */
 constexpr Duration answerTransitTime = std::chrono::milliseconds{4};
 /** Maximum length of a request's path and query in a log line. */
@@ -48,32 +44,8 @@
 constexpr Duration maxPermitPause = std::chrono::seconds{10};
 /** Divides that pause if no server of the service takes requests without a permit. */
 constexpr int allLimitedPauseDivisor = 4;
-/** Reason for refusing a request whose server takes no more of them now. */
-constexpr std::string_view limitedReason = "server-limited";
-/** Reason for refusing a request whose server could not be connected to. */
-constexpr std::string_view unreachableReason = "server-unreachable";
-/** Reasons for refusing requests that another daemon may be able to handle. */
-constexpr std::string_view shuttingDownReason = "shutting-down";
-constexpr std::string_view noConfigReason = "no-configuration";
-constexpr std::string_view outdatedConfigReason = "configuration-behind";
-constexpr std::string_view relayLimitReason = "relay-limit";
 /** Requests of other daemons that are handled at a time, as they must not displace own callers. */
 constexpr std::size_t maxOpenRelays = 200;
-/** Reason for refusing a suspect request while a probe finds out whether it crashes servers. */
-constexpr std::string_view mayCrashReason = "may-crash-servers";
-
-/** \returns the seconds after which to retry: at least \a earliest, spread by \a hash. */
-std::string retryAfter(std::uint64_t hash, Duration earliest)
-{
-    constexpr std::uint64_t steps = 1000;
-    const double part = static_cast<double>(hash % steps) / steps;
-    const double least =
-        std::max(minRetryAfterSeconds, std::chrono::duration<double>(earliest).count());
-    std::array<char, 16> text{};
-    std::snprintf(text.data(), text.size(), "%.2f", least + retryAfterSpreadSeconds * part);
-    return text.data();
-}
-
 /** \returns whether a call that failed with \a error received nothing from its server. */
 bool isUnanswered(std::error_code error)
 {
@@ -127,16 +99,16 @@
 {
     m_routes = m_context.state ? m_context.state->routes : nullptr;
     if (!m_routes || m_context.isRefusing) {
-        refuseNotRun(m_routes ? shuttingDownReason : noConfigReason);
+        refuseNotRun(m_routes ? refusal::shuttingDown : refusal::noConfig);
         return false;
     }
     // The daemon that relays a request may know a later configuration.
     if (m_relayed && m_relayed->configVersion > m_routes->config().version) {
-        refuseNotRun(outdatedConfigReason);
+        refuseNotRun(refusal::outdatedConfig);
         return false;
     }
     if (m_relayed && m_context.openRelayCount > maxOpenRelays) {
-        refuseNotRun(relayLimitReason);
+        refuseNotRun(refusal::relayLimit);
         return false;
     }
     if (m_terms.id.empty()) {
@@ -232,7 +204,7 @@
     if (admission == RequestAdmission::Blocked)
         refuseNotRun("crashes-servers", RetryAdvice::Never);
     else
-        refuseNotRun(mayCrashReason);
+        refuseNotRun(refusal::mayCrash);
     return true;
 }
 
@@ -287,7 +259,8 @@
     }
     if (!beginProbe()) {
         m_context.counters.add(EntryCounter::RefusedCrashing);
-        asio::post(m_context.loop, [self = shared_from_this()] { self->refuse(mayCrashReason); });
+        asio::post(m_context.loop,
+                   [self = shared_from_this()] { self->refuse(refusal::mayCrash); });
         return;
     }
     m_sentAt = io::hostNow();
@@ -396,7 +369,7 @@
     m_limitedFor = answer.wait;
     if (m_isDividedByKey) {
         m_context.limits.close(m_server, now + std::max(Duration::zero(), answer.wait - maxWait));
-        refuse(limitedReason);
+        refuse(refusal::limited);
         return;
     }
     if (const KnownLimit *limit = m_context.limits.find(m_server)) {
@@ -555,7 +528,7 @@
             return;
     }
     if (!relay())
-        refuseNotRun(unreachableReason);
+        refuseNotRun(refusal::unreachable);
 }
 
 /**
@@ -709,9 +682,9 @@
         return io::isSameFieldName(header.name, "Retry-After");
     });
     if (advice == RetryAdvice::Later)
-        response.headers.push_back({"Retry-After", retryAfter(hash(), m_limitedFor)});
+        response.headers.push_back({"Retry-After", retryAfterText(hash(), m_limitedFor)});
     m_context.counters.add(EntryCounter::RelaysNotRun, m_relayed ? 1 : 0);
-    send(std::move(response), refusalOutcome(reason), reason);
+    send(std::move(response), relayOutcomeOf(reason, m_context.reach.isOutOfReach()), reason);
     finish();
 }
 
@@ -745,17 +718,6 @@
     m_writer->send(response);
 }
 
-/** \returns what a refusal for \a reason means to a daemon that relays the request. */
-RelayOutcome ForwardExchange::refusalOutcome(std::string_view reason) const
-{
-    if (reason == shuttingDownReason || reason == noConfigReason || reason == outdatedConfigReason
-        || reason == relayLimitReason)
-        return RelayOutcome::Unavailable;
-    if (reason != unreachableReason && reason != nameOf(GiveUpReason::Unreachable))
-        return RelayOutcome::NotRun;
-    return m_context.reach.isOutOfReach() ? RelayOutcome::CutOff : RelayOutcome::Denied;
-}
-
 void ForwardExchange::handleDisconnect()
 {
     if (m_isFinished)
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -95,7 +95,6 @@
     void finishUnknown(int status, std::string_view reason);
     void reject(int status, std::string_view reason);
     void send(io::HttpResponse response, RelayOutcome outcome, std::string_view reason);
-    RelayOutcome refusalOutcome(std::string_view reason) const;
     void handleDisconnect();
     void handleTimeout();
     void finish();
--- a/tests/entryfleet/partitionedfleet.h
+++ b/tests/entryfleet/partitionedfleet.h
@@ -20,7 +20,7 @@
 inline constexpr std::chrono::seconds stabilityPeriod{3};
 
 /** First attempts at a daemon. */
-struct Served
+struct FirstAttempts
 {
     int sent = 0;
     int served = 0;
@@ -47,9 +47,9 @@
     }
 
     /** Sends about 40 reads and payments a second to each host for \a span, by several callers. */
-    std::map<std::string, Served> sendFor(std::chrono::milliseconds span)
+    std::map<std::string, FirstAttempts> sendFor(std::chrono::milliseconds span)
     {
-        std::vector<std::pair<std::string, Served>> results;
+        std::vector<std::pair<std::string, FirstAttempts>> results;
         for (const std::string &host : hosts)
             results.insert(results.end(), callersPerHost, {host, {}});
         std::vector<std::thread> callers;
@@ -60,7 +60,7 @@
         }
         for (std::thread &caller : callers)
             caller.join();
-        std::map<std::string, Served> sums;
+        std::map<std::string, FirstAttempts> sums;
         for (const auto &[host, result] : results) {
             sums[host].sent += result.sent;
             sums[host].served += result.served;
@@ -73,12 +73,12 @@
      * as the others, or that no more than 10 and 1 in 50 of all first attempts fail there.
      */
     void expectServedAlike(const std::set<std::string> &partitioned,
-                           const std::map<std::string, Served> &results) const
+                           const std::map<std::string, FirstAttempts> &results) const
     {
-        Served within;
-        Served others;
+        FirstAttempts within;
+        FirstAttempts others;
         for (const auto &[host, result] : results) {
-            Served &sum = partitioned.contains(host) ? within : others;
+            FirstAttempts &sum = partitioned.contains(host) ? within : others;
             sum.sent += result.sent;
             sum.served += result.served;
         }
@@ -103,10 +103,10 @@
     static constexpr int keyStep = 40'503;
     static constexpr int keyCount = 65'536;
 
-    Served sendTo(const std::string &host, std::chrono::milliseconds span, int caller)
+    FirstAttempts sendTo(const std::string &host, std::chrono::milliseconds span, int caller)
     {
         SyncHttpClient client;
-        Served result;
+        FirstAttempts result;
         const auto end = std::chrono::steady_clock::now() + span;
         std::this_thread::sleep_for(sendInterval * caller / (hosts.size() * callersPerHost));
         for (int i = caller; std::chrono::steady_clock::now() < end; ++i) {
--- a/tests/entryfleet/test_entryserverpaths.cpp
+++ b/tests/entryfleet/test_entryserverpaths.cpp
@@ -50,7 +50,7 @@
     }
     partitionFromServers(partitioned);
     sendFor(8s);
-    const std::map<std::string, Served> served = sendFor(5s);
+    const std::map<std::string, FirstAttempts> served = sendFor(5s);
     for (const auto &[host, count] : served) {
         BOOST_TEST_MESSAGE(host << ": served " << count.served << " of " << count.sent);
         BOOST_TEST(count.served * 10 >= count.sent * 9);
