Test relays with resets, returning paths and one daemon left; make all servers refuse at once

test_forwardworker failed once beside other tests: 1 report where none is expected. Trace: the test ended four servers one after the other, and 4 ms after the first had refused a connection another one could still be connected to, so that its requests were rightly reported. Now all servers refuse connections before the first one breaks. test_entryserverpaths also checks that no payment ran twice and that none ran whose caller was told that it did not: resets, paths that return and are lost again, five of six daemons without paths. Its partitions end, and relays with them.

--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -419,7 +419,9 @@
     json["partitionedFrom"] = Json::Value{Json::arrayValue};
     for (const std::string &host : hosts)
         json["partitionedFrom"].append(addressOf(host));
-    json["keepsOpenConnections"] = kind == Partition::NewConnections;
+    json["openConnections"] = kind == Partition::NewConnections ? "keep"
+        : kind == Partition::ResetOpen                          ? "reset"
+                                                                : "hang";
     m_http.post(server(id).address() + "/_control", json.toStyledString());
 }
 
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -159,6 +159,7 @@
     enum class Partition {
         AllConnections,
         NewConnections, ///< connections that are open already keep working
+        ResetOpen,      ///< open connections are reset, and new ones hang
     };
 
     /** Partitions the daemons of \a hosts, and no others, from the server; their packets are lost.
--- a/tests/entryfleet/partitionedfleet.h
+++ b/tests/entryfleet/partitionedfleet.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <mutex>
 #include <set>
 #include <string>
 #include <thread>
@@ -93,12 +94,28 @@
         BOOST_TEST((isServedAlike || isRarelyFailing));
     }
 
+    /** Checks that no payment ran twice, and that none ran whose caller was told that it did not.
+     */
+    void expectHonestOutcomes()
+    {
+        std::set<std::string> ran;
+        for (const RequestRun &run : runs()) {
+            if (run.key >= 0)
+                continue; // reads may be repeated
+            BOOST_TEST(ran.insert(run.request).second, run.request << " ran twice");
+            BOOST_TEST(!m_refusedPayments.contains(run.request),
+                       run.request << " was refused and ran");
+        }
+        BOOST_TEST(!ran.empty());
+    }
+
     const std::vector<std::string> hosts{"a1", "a2", "a3", "b1", "b2", "b3"};
 
 private:
     static constexpr std::size_t callersPerHost = 12;
     static constexpr std::chrono::milliseconds sendInterval{300};
     static constexpr int deadlineMs = 1500;
+    static constexpr int notRunStatus = 503;
     /** Spreads successive requests evenly over all keys. */
     static constexpr int keyStep = 40'503;
     static constexpr int keyCount = 65'536;
@@ -115,12 +132,28 @@
             const SyncHttpRequest request = isRead
                 ? makeRequest(host, "GET", "/read/" + std::to_string(key), key, "", deadlineMs)
                 : makeRequest(host, "POST", "/pay/x", std::nullopt, "x", deadlineMs);
+            const int status = client.send(request).status;
             ++result.sent;
-            result.served += client.send(request).status == 200 ? 1 : 0;
+            result.served += status == 200 ? 1 : 0;
+            if (!isRead && status == notRunStatus)
+                recordRefusedPayment(request);
             std::this_thread::sleep_for(sendInterval);
         }
         return result;
     }
+
+    void recordRefusedPayment(const SyncHttpRequest &request)
+    {
+        const std::scoped_lock lock{m_mutex};
+        for (const SyncHttpHeader &header : request.headers) {
+            if (header.name == "X-Bulrushswitch-Request-Id")
+                m_refusedPayments.insert(header.value);
+        }
+    }
+
+    std::mutex m_mutex;
+    /** The ids of payments whose callers were told that they did not run. */
+    std::set<std::string> m_refusedPayments;
 };
 
 } // namespace bulrush::test
--- a/tests/entryfleet/scriptedbackend.h
+++ b/tests/entryfleet/scriptedbackend.h
@@ -3,7 +3,9 @@
 #include "httpclient/scriptedserver.h"
 
 #include <asio/io_context.hpp>
+#include <asio/post.hpp>
 
+#include <future>
 #include <string>
 #include <thread>
 #include <utility>
@@ -36,6 +38,17 @@
         return m_address.substr(std::string{"http://"}.size());
     }
 
+    /** Refuses connections from now on; those that are open stay so. */
+    void refuseConnections()
+    {
+        std::promise<void> isDone;
+        asio::post(m_loop, [this, &isDone] {
+            m_server.close();
+            isDone.set_value();
+        });
+        isDone.get_future().wait();
+    }
+
 private:
     asio::io_context m_loop{1};
     ScriptedServer m_server;
--- a/tests/entryfleet/test_entryserverpaths.cpp
+++ b/tests/entryfleet/test_entryserverpaths.cpp
@@ -40,6 +40,39 @@
     expectServedAlike({"a1"}, sendFor(8s));
 }
 
+BOOST_FIXTURE_TEST_CASE(daemonsWhoseConnectionsAreResetServeTheirCallers, PartitionedFleet)
+{
+    sendFor(1s);
+    partitionFromServers({"a1", "b1"}, Partition::ResetOpen);
+    sendFor(stabilityPeriod);
+    expectServedAlike({"a1", "b1"}, sendFor(5s));
+    expectHonestOutcomes();
+}
+
+BOOST_FIXTURE_TEST_CASE(pathsThatReturnAndAreLostAgainAreFollowed, PartitionedFleet)
+{
+    for (int i = 0; i < 2; ++i) {
+        partitionFromServers({"a1"});
+        sendFor(stabilityPeriod);
+        expectServedAlike({"a1"}, sendFor(2s));
+        partitionFromServers({});
+        sendFor(stabilityPeriod);
+        const std::int64_t relayed = counter("a1", "bulrush_relays_sent_total");
+        expectServedAlike({"a1"}, sendFor(2s));
+        BOOST_TEST(counter("a1", "bulrush_relays_sent_total") == relayed);
+    }
+    expectHonestOutcomes();
+}
+
+BOOST_FIXTURE_TEST_CASE(oneDaemonWithPathsServesTheCallersOfAllOthers, PartitionedFleet)
+{
+    const std::set<std::string> partitioned{"a2", "a3", "b1", "b2", "b3"};
+    partitionFromServers(partitioned);
+    sendFor(8s);
+    expectServedAlike(partitioned, sendFor(5s));
+    expectHonestOutcomes();
+}
+
 BOOST_FIXTURE_TEST_CASE(keysKeepTheirOwnersIfThePlannersDomainHasNoPathToServers, PartitionedFleet)
 {
     const std::string planningDomain = planner().substr(0, 1);
--- a/tests/forwardworker/test_forwardworker.cpp
+++ b/tests/forwardworker/test_forwardworker.cpp
@@ -64,6 +64,9 @@
 BOOST_FIXTURE_TEST_CASE(requestsAreNotSuspectIfAllServersRefuseConnections, Fixture)
 {
     sendHanging(4);
+    // No server may be reachable any more when the first connection breaks.
+    for (const auto &backend : backends)
+        backend->refuseConnections();
     backends.clear();
     std::this_thread::sleep_for(3s);
     BOOST_TEST(node.reportCount == 0);
--- a/tests/standins/http/sourcefilter.cpp
+++ b/tests/standins/http/sourcefilter.cpp
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <filesystem>
@@ -49,6 +50,25 @@
     return ntohs(address.sin_port);
 }
 
+bool isConnectedToOneOf(int socket, const std::vector<std::string> &sources)
+{
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    if (::getpeername(socket, reinterpret_cast<sockaddr *>(&address), &length) != 0)
+        return false;
+    return std::ranges::any_of(sources, [&](const std::string &source) {
+        return address.sin_addr.s_addr == inet_addr(source.c_str());
+    });
+}
+
+/** Resets the connection of \a socket, whose owner sees it closed. */
+void resetConnection(int socket)
+{
+    sockaddr disconnect{};
+    disconnect.sa_family = AF_UNSPEC;
+    static_cast<void>(::connect(socket, &disconnect, sizeof(disconnect)));
+}
+
 void setFilter(int socket, std::vector<sock_filter> program)
 {
     const sock_fprog filter{static_cast<unsigned short>(program.size()), program.data()};
@@ -79,6 +99,8 @@
             continue;
         if (isListening(descriptor) || scope == PartitionScope::AllConnections)
             setFilter(descriptor, dropFrom(sources));
+        else if (scope == PartitionScope::ResetOpen && isConnectedToOneOf(descriptor, sources))
+            resetConnection(descriptor);
     }
 }
 
--- a/tests/standins/http/sourcefilter.h
+++ b/tests/standins/http/sourcefilter.h
@@ -10,6 +10,7 @@
 enum class PartitionScope {
     AllConnections,
     NewConnections, ///< connections that are open already keep working
+    ResetOpen,      ///< open connections are reset, and new ones hang
 };
 
 /**
--- a/tests/standins/keyed/keyedserver.cpp
+++ b/tests/standins/keyed/keyedserver.cpp
@@ -324,17 +324,18 @@
     m_ordersToDelay = json["lateOrders"].asInt();
     m_orderDelay = std::chrono::milliseconds{json["lateMs"].asInt()};
     if (json.isMember("partitionedFrom"))
-        setPartition(json["partitionedFrom"], json["keepsOpenConnections"].asBool());
+        setPartition(json["partitionedFrom"], json["openConnections"].asString());
 }
 
-void KeyedServer::setPartition(const Json::Value &sources, bool keepsOpenConnections)
+void KeyedServer::setPartition(const Json::Value &sources, const std::string &openConnections)
 {
     std::vector<std::string> addresses;
     for (const Json::Value &source : sources)
         addresses.push_back(source.asString());
-    partitionFrom(addresses, parsedEndpoint(address()).port,
-                  keepsOpenConnections ? PartitionScope::NewConnections
-                                       : PartitionScope::AllConnections);
+    const PartitionScope scope = openConnections == "keep" ? PartitionScope::NewConnections
+        : openConnections == "reset"                       ? PartitionScope::ResetOpen
+                                                           : PartitionScope::AllConnections;
+    partitionFrom(addresses, parsedEndpoint(address()).port, scope);
 }
 
 Json::Value KeyedServer::stateJson() const
--- a/tests/standins/keyed/keyedserver.h
+++ b/tests/standins/keyed/keyedserver.h
@@ -114,7 +114,7 @@
     std::optional<AnswerFault> nextAnswerFault();
     void handleControl(const RequestHandle &request);
     void setFaults(const Json::Value &json);
-    void setPartition(const Json::Value &sources, bool keepsOpenConnections);
+    void setPartition(const Json::Value &sources, const std::string &openConnections);
     Json::Value stateJson() const;
     std::vector<HeaderField> answerHeaders(const std::string &requestId) const;
 
