Mend comments that did not say what the code does

A bind to the source address that fails leaves the choice to the system, and a lost connection is not recorded as a failure.

--- a/src/libbulrush/process/serverreach.h
+++ b/src/libbulrush/process/serverreach.h
@@ -19,7 +19,7 @@
 class ServerReach
 {
 public:
-    /** Failures at this many servers, or at all if there are fewer, mean that no path is left. */
+    /** No path is left if this many servers have failed, or all of them if there are fewer. */
     static constexpr std::size_t failedServersThreshold = 3;
 
     /** Sets how many servers there are. */
@@ -28,7 +28,7 @@
     /** Records that \a server answered, or that a connection to it was established. */
     void recordReached(const ServerName &server, Instant now);
 
-    /** Records that a connection to \a server failed or was lost, or that it did not answer. */
+    /** Records that a connection to \a server was not established, or that it did not answer. */
     void recordFailure(const ServerName &server);
 
     /** \returns whether no server can be reached from here. */
--- a/src/libbulrushentry/refusal.h
+++ b/src/libbulrushentry/refusal.h
@@ -27,8 +27,8 @@
 } // namespace refusal
 
 /**
- * \returns what a refusal for \a reason means to the daemon that relays the request, if no server
- * is in reach of this one or, otherwise, some are. Thread safe.
+ * \returns what a refusal for \a reason means to the daemon that relays the request. \a
+ * isOutOfReach tells whether this daemon reaches no server. Thread safe.
  */
 RelayOutcome relayOutcomeOf(std::string_view reason, bool isOutOfReach);
 
--- a/src/libbulrushio/connection/serverconnection.cpp
+++ b/src/libbulrushio/connection/serverconnection.cpp
@@ -121,7 +121,9 @@
         [self = shared_from_this()](asio::error_code failure) { self->handleConnected(failure); });
 }
 
-/** Binds the socket to the source address, if there is one; if that fails, so does the connection.
+/**
+ * Binds the socket to the source address, if there is one. If that fails, the system chooses the
+ * address.
  */
 void ServerConnection::bindToSource()
 {
