Log and count the pauses that servers ask for, and servers that announce to stop

Cause: a refusal with Retry-After and a full queue were the same in the logs, and Retry-After stood in the list of known fields, so that it was not logged as unknown either. The decoders for load, limit and refusal become one typed statement.

--- a/src/libbulrushentry/entrycounters.h
+++ b/src/libbulrushentry/entrycounters.h
@@ -23,8 +23,11 @@
     AttemptsRepeated,
     AttemptsNotRun,
     AttemptsFailed,
-    AttemptsToLimited, ///< to servers that name a limit
-    PermitsQueried,    ///< for requests to servers that name limits
+    AttemptsToLimited,     ///< to servers that name a limit
+    AttemptsDuringBackoff, ///< to servers that had asked for a pause
+    ServerBackoffs,        ///< refusals that asked for a pause
+    ServersLeaving,        ///< servers that announced in an answer that they stop
+    PermitsQueried,        ///< for requests to servers that name limits
     PermitsRefused,
     ConnectionsOpened,
     RelaysSent,        ///< requests sent through other daemons
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t maxLoggedFields = 20;
 /** Maximum length of a field's value in a log line. */
 constexpr std::size_t maxLoggedValueLength = 40;
+constexpr int firstServerError = 500;
 
 std::string_view eventName(LimitChange change)
 {
@@ -90,7 +91,7 @@
     retries.setDaemonCount(state->daemonCount);
     gauges.setDaemonCount(state->daemonCount);
     relays.setDaemons(state->relays);
-    removeStaleLimits();
+    removeStaleNotices();
     handleRemovedServers();
     scheduleDispatch();
 }
@@ -202,8 +203,8 @@
     return nullptr;
 }
 
-/** Removes the limits of servers that have left. */
-void ForwardContext::removeStaleLimits()
+/** Removes the limits and notices of servers that have left. */
+void ForwardContext::removeStaleNotices()
 {
     std::vector<ServerName> gone;
     for (const auto &[server, limit] : limits.limits()) {
@@ -212,6 +213,8 @@
     }
     for (const ServerName &server : gone)
         limits.remove(server);
+    notices.removeUnlisted([this](const ServerName &server) { return findServer(server); },
+                           io::hostNow());
 }
 
 /** Treats suspect servers whose records were removed as stopped. */
@@ -223,21 +226,65 @@
     }
 }
 
-LimitChange ForwardContext::recordLimit(const ServerName &server, const LimitStatement &statement,
-                                        bool wasRun, Instant sentAt)
+LimitChange ForwardContext::recordStatement(const Answer &answer, const ServerStatement &statement)
+{
+    recordBackoff(answer, statement.backoff);
+    if (statement.isLeaving)
+        recordLeaving(answer);
+    return recordLimit(answer, statement);
+}
+
+LimitChange ForwardContext::recordLimit(const Answer &answer, const ServerStatement &statement)
 {
     const Instant now = io::hostNow();
-    const LimitChange change = limits.recordAnswer(server, statement, wasRun, sentAt, now);
+    const bool wasRun = !statement.isNotRun && answer.status < firstServerError;
+    const LimitChange change =
+        limits.recordAnswer(answer.server, statement.limit, wasRun, answer.sentAt, now);
     if (change == LimitChange::None)
         return change;
     const bool isUnreadable = change == LimitChange::Unreadable;
     io::logEvent(isUnreadable ? LogLevel::Warning : LogLevel::Info, eventName(change),
-                 {{"server", server.value()},
-                  {"per-second", textOf(statement)},
-                  {"request-ms", io::millisecondsText(now - sentAt)}});
+                 {{"server", answer.server.value()},
+                  {"per-second", textOf(statement.limit)},
+                  {"request-ms", io::millisecondsText(now - answer.sentAt)}});
     return change;
 }
 
+void ForwardContext::recordBackoff(const Answer &answer, const BackoffStatement &statement)
+{
+    if (const auto *unreadable = std::get_if<UnreadableBackoff>(&statement)) {
+        io::logEvent(LogLevel::Warning, "server-backoff-unreadable",
+                     {{"server", answer.server.value()},
+                      {"request", answer.request},
+                      {"retry-after", unreadable->text.substr(0, maxLoggedValueLength)}});
+        return;
+    }
+    const auto *backoff = std::get_if<Backoff>(&statement);
+    if (!backoff)
+        return;
+    const Instant now = io::hostNow();
+    notices.recordBackoff(answer.server, backoff->duration, now);
+    counters.add(EntryCounter::ServerBackoffs);
+    const ServerNotice &notice = *notices.find(answer.server);
+    io::logEvent(LogLevel::Info, "server-backoff-asked",
+                 {{"server", answer.server.value()},
+                  {"request", answer.request},
+                  {"status", std::to_string(answer.status)},
+                  {"asked-ms", io::millisecondsText(backoff->duration)},
+                  {"left-ms", io::millisecondsText(notice.backoffUntil - now)},
+                  {"count", std::to_string(notice.backoffCount)},
+                  {"request-ms", io::millisecondsText(now - answer.sentAt)}});
+}
+
+void ForwardContext::recordLeaving(const Answer &answer)
+{
+    if (!notices.recordLeaving(answer.server, io::hostNow()))
+        return;
+    counters.add(EntryCounter::ServersLeaving);
+    io::logEvent(LogLevel::Info, "server-leaving",
+                 {{"server", answer.server.value()}, {"request", answer.request}});
+}
+
 void ForwardContext::recordServerReached(const ServerName &server)
 {
     const Instant now = io::hostNow();
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -12,7 +12,9 @@
 #include "process/routingstate.h"
 #include "process/servergauges.h"
 #include "process/serverlimits.h"
+#include "process/servernotices.h"
 #include "process/serverreach.h"
+#include "process/serverstatement.h"
 #include "process/slowstart.h"
 #include "request/relaychooser.h"
 #include "request/requestqueue.h"
@@ -64,6 +66,7 @@
     ServerGauges gauges;
     SlowStart slowStart;
     ServerLimits limits;
+    ServerNotices notices;
     ServerReach reach;
     ServerPicker picker;
     RequestQueue queue;
@@ -109,12 +112,18 @@
      */
     void recordServerStopped(const ServerName &server, std::string_view sign);
 
-    /**
-     * Applies what an answer of \a server to a request sent at \a sentAt states about its limit.
-     * \a wasRun tells whether the server ran the request and did not fail. \returns what changed.
-     */
-    LimitChange recordLimit(const ServerName &server, const LimitStatement &statement, bool wasRun,
-                            Instant sentAt);
+    /** An answer of a server that is not evaluated yet. */
+    struct Answer
+    {
+        ServerName server;
+        int status = 0;
+        /** The request that it answers. */
+        std::string request;
+        Instant sentAt;
+    };
+
+    /** Applies what \a answer states about its server. \returns what changed about its limit. */
+    LimitChange recordStatement(const Answer &answer, const ServerStatement &statement);
 
     /** Records that \a server answered, or that a connection to it was established. */
     void recordServerReached(const ServerName &server);
@@ -150,7 +159,10 @@
 private:
     void handleConnectionEvent(const std::string &run, io::ServerClient::ConnectionEvent event);
     const ServerRecord *findServer(const ServerName &server) const;
-    void removeStaleLimits();
+    LimitChange recordLimit(const Answer &answer, const ServerStatement &statement);
+    void recordBackoff(const Answer &answer, const BackoffStatement &statement);
+    void recordLeaving(const Answer &answer);
+    void removeStaleNotices();
     void handleRemovedServers();
     void logRoutes(const RoutingState &published);
     void probe(const ServerRecord &server, std::function<void(bool isConnected)> handler = {});
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -271,6 +271,8 @@
     m_context.counters.add(EntryCounter::AttemptsSent);
     if (m_context.limits.recordSend(m_server))
         m_context.counters.add(EntryCounter::AttemptsToLimited);
+    if (m_context.notices.isBackingOff(m_server, m_sentAt))
+        m_context.counters.add(EntryCounter::AttemptsDuringBackoff);
     if (m_attempts > 1)
         m_context.counters.add(EntryCounter::AttemptsRepeated);
     m_context.gauges.attemptStarted(server.id, m_sentAt);
@@ -438,21 +440,22 @@
     const Instant now = io::hostNow();
     const io::HttpResponse &response = result.response;
     m_context.recordServerReached(m_server);
-    const platform::AnswerMetadata terms =
-        platform::answerMetadata(response.status, response.headers, m_server);
-    const bool isFailure = response.status >= firstServerError && !terms.isNotRun;
-    const AttemptOutcome sign = terms.isNotRun ? AttemptOutcome::NotRun
-        : isFailure                            ? AttemptOutcome::Failed
-                                               : AttemptOutcome::Served;
-    m_context.gauges.attemptEnded(m_server, sign, now - m_sentAt,
-                                  platform::serverLoad(response.headers), now);
-    recordLimit(response, !terms.isNotRun && !isFailure);
+    const ServerStatement statement =
+        platform::serverStatement(response.status, response.headers, m_server);
+    const bool isFailure = response.status >= firstServerError && !statement.isNotRun;
+    const AttemptOutcome sign = statement.isNotRun ? AttemptOutcome::NotRun
+        : isFailure                                ? AttemptOutcome::Failed
+                                                   : AttemptOutcome::Served;
+    m_context.gauges.attemptEnded(m_server, sign, now - m_sentAt, statement.load, now);
+    if (m_context.recordStatement({m_server, response.status, m_terms.id, m_sentAt}, statement)
+        == LimitChange::Ended)
+        reportLimitEnd();
     m_context.logUnknownFields(m_server, platform::unknownFields(response.headers));
 
-    if (terms.isNotRun) {
+    if (statement.isNotRun) {
         m_context.counters.add(EntryCounter::AttemptsNotRun);
         const bool isKeyMissing = response.status == misdirected;
-        if (terms.isReplaced) {
+        if (statement.isReplaced) {
             m_context.stoppedServers[m_service].insert(m_server);
             m_context.recordServerStopped(m_server, "replaced");
         }
@@ -478,15 +481,13 @@
         returnAnswer(response);
 }
 
-/** Applies what an answer states about the server's limit, and reports the end of a limit. */
-void ForwardExchange::recordLimit(const io::HttpResponse &response, bool wasRun)
+/** Reports that the server has no limit any more to the issuer of its permits. */
+void ForwardExchange::reportLimitEnd()
 {
-    const LimitStatement statement = platform::limitStatement(response.headers);
-    const LimitChange change = m_context.recordLimit(m_server, statement, wasRun, m_sentAt);
     const KnownServer *server = m_context.state->server(m_service, m_server);
-    if (change != LimitChange::Ended || !server)
+    if (!server)
         return;
-    // The other daemons learn it from the issuer of the permits.
+    // The other daemons learn it from the issuer.
     m_context.permits({m_server, server->record.domain, std::nullopt, Duration::zero(), {}},
                       [](const PermitAnswer &) {});
 }
@@ -776,6 +777,9 @@
     const KnownLimit *limit = m_context.limits.find(m_server);
     const KeyAssignment *assignment = currentAssignment();
     const OwnedRange *owned = assignment ? assignment->find(*m_terms.key) : nullptr;
+    const ServerNotice *notice =
+        m_context.notices.find(m_server.isEmpty() && owned ? owned->owner : m_server);
+    const Duration backoff = notice ? notice->backoffUntil - io::hostNow() : Duration::zero();
     io::logEvent(LogLevel::Info, "request",
                  {{"id", m_terms.id},
                   {"outcome", std::string{outcome}},
@@ -794,6 +798,8 @@
                   {"relayed-from", m_relayed ? m_relayed->from.value() : ""},
                   {"servers", m_context.reach.isOutOfReach() ? "out-of-reach" : "reached"},
                   {"server-limit", limit ? std::to_string(limit->perSecond) : "none"},
+                  {"server-backoff-ms", io::millisecondsText(std::max(Duration::zero(), backoff))},
+                  {"server-leaving", notice && notice->leavingSince ? "yes" : "no"},
                   {"attempts", std::to_string(m_attempts)},
                   {"ms", io::millisecondsText(elapsed())},
                   {"left-ms", io::millisecondsText(timeLeft())},
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -75,7 +75,7 @@
     bool haveAllServersLimits() const;
     void queryPermit(const ServerRecord &server);
     void handlePermit(const PermitAnswer &answer, Instant namedAt, Duration maxWait);
-    void recordLimit(const io::HttpResponse &response, bool wasRun);
+    void reportLimitEnd();
     Instant recordChoice();
     void logAttemptTimes(const io::CallTimes &times);
     void handleAttemptResult(const io::HttpResult &result);
--- a/tests/platformadapter/test_mutations.cpp
+++ b/tests/platformadapter/test_mutations.cpp
@@ -47,10 +47,14 @@
                                                  {"X-Bulrushswitch-Deadline-Ms", text},
                                                  {"X-Bulrushswitch-Shard-Key", text},
                                                  {"X-Bulrushswitch-Server-Load", text},
+                                                 {"Server-Limit", text},
+                                                 {"Server-Leaving", text},
+                                                 {"Retry-After", text},
                                                  {"Connection", text}};
     const RequestMetadata terms = requestMetadata(headers);
     forwardedFields(headers, ServerName{text}, std::chrono::milliseconds{5});
-    answerMetadata(421, headers, ServerName{text});
+    serverStatement(421, headers, ServerName{text});
+    serverStatement(503, headers, ServerName{text});
     return !terms.key || *terms.key < keyPositionCount;
 }
 
--- a/tests/platformadapter/test_platformformats.cpp
+++ b/tests/platformadapter/test_platformformats.cpp
@@ -133,7 +133,7 @@
     BOOST_TEST(io::findField(releaseOfRun.headers, targetServerField)->value == "i-1");
     BOOST_TEST(releaseOfRun.run == record->id.value());
     const std::vector<io::HttpHeader> answer = {{"X-Bulrushswitch-Instance-Id", "i-1"}};
-    BOOST_TEST(!answerMetadata(421, answer, record->id).isReplaced);
+    BOOST_TEST(!serverStatement(421, answer, record->id).isReplaced);
     // Names that contain the separator are not mistaken for runs of another server.
     for (const std::string name : {"i-1@5", "i-1@", "@", "i@1@2"}) {
         BOOST_TEST(wireName(runName(name, std::nullopt)) == name);
@@ -280,36 +280,74 @@
 BOOST_AUTO_TEST_CASE(detectsAnswersToRequestsThatDidNotRun)
 {
     const ServerName target{"i-1"};
-    BOOST_TEST(answerMetadata(421, {}, target).isNotRun);
-    BOOST_TEST(!answerMetadata(421, {}, target).isReplaced);
+    BOOST_TEST(serverStatement(421, {}, target).isNotRun);
+    BOOST_TEST(!serverStatement(421, {}, target).isReplaced);
     const std::vector<io::HttpHeader> other = {{"X-Bulrushswitch-Instance-Id", "i-2"}};
-    BOOST_TEST(answerMetadata(421, other, target).isReplaced);
+    BOOST_TEST(serverStatement(421, other, target).isReplaced);
     const std::vector<io::HttpHeader> same = {{"X-Bulrushswitch-Instance-Id", "i-1"}};
-    BOOST_TEST(!answerMetadata(421, same, target).isReplaced);
-    BOOST_TEST(!answerMetadata(503, {}, target).isNotRun);
+    BOOST_TEST(!serverStatement(421, same, target).isReplaced);
+    BOOST_TEST(!serverStatement(503, {}, target).isNotRun);
     const std::vector<io::HttpHeader> headers = {{"X-Bulrushswitch-Not-Executed", "1"},
                                                  {"X-Bulrushswitch-Server-Load", "3, 5,3"}};
-    BOOST_TEST(answerMetadata(503, headers, target).isNotRun);
-    BOOST_TEST((serverLoad(headers) == ServerLoad{3, 5, 3}));
+    BOOST_TEST(serverStatement(503, headers, target).isNotRun);
+    BOOST_TEST((serverStatement(503, headers, target).load == ServerLoad{3, 5, 3}));
     const std::vector<io::HttpHeader> wrong = {{"X-Bulrushswitch-Server-Load", "3,x,3"}};
-    BOOST_TEST(!serverLoad(wrong).has_value());
+    BOOST_TEST(!serverStatement(503, wrong, target).load.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(limitIsANumberFromZeroThatOccursOnce)
 {
-    const auto statement = [](const std::string &value) {
-        return limitStatement(std::vector<io::HttpHeader>{{"Server-Limit", value}});
+    const auto limitOf = [](const std::vector<io::HttpHeader> &headers) {
+        return serverStatement(200, headers, ServerName{"i-1"}).limit;
     };
-    BOOST_TEST((limitStatement({}) == LimitStatement{NoLimit{}}));
+    const auto statement = [&](const std::string &value) {
+        return limitOf({{"Server-Limit", value}});
+    };
+    BOOST_TEST((limitOf({}) == LimitStatement{NoLimit{}}));
     BOOST_TEST((statement("5.3") == LimitStatement{RateLimit{5.3}}));
     BOOST_TEST((statement(" 0 ") == LimitStatement{RateLimit{0.0}}));
     BOOST_TEST((statement("5e2") == LimitStatement{RateLimit{500.0}}));
     for (const std::string wrong : {"", "-1", "nan", "inf", "5,3", "5 a second", "1e999"})
         BOOST_TEST((statement(wrong) == LimitStatement{UnreadableLimit{wrong}}), wrong);
     const std::vector<io::HttpHeader> twice{{"Server-Limit", "5"}, {"server-limit", "6"}};
-    BOOST_TEST((limitStatement(twice) == LimitStatement{UnreadableLimit{"6"}}));
+    BOOST_TEST((limitOf(twice) == LimitStatement{UnreadableLimit{"6"}}));
     const std::vector<io::HttpHeader> prefixed{{"X-Bulrushswitch-Server-Limit", "7"}};
-    BOOST_TEST((limitStatement(prefixed) == LimitStatement{RateLimit{7.0}}));
+    BOOST_TEST((limitOf(prefixed) == LimitStatement{RateLimit{7.0}}));
+}
+
+BOOST_AUTO_TEST_CASE(refusalAsksForAPauseInSecondsWithFractions)
+{
+    const auto backoffOf = [](int status, const std::vector<io::HttpHeader> &headers) {
+        return serverStatement(status, headers, ServerName{"i-1"}).backoff;
+    };
+    const auto statement = [&](const std::string &value) {
+        return backoffOf(503, {{"Retry-After", value}});
+    };
+    BOOST_TEST((backoffOf(503, {}) == BackoffStatement{NoBackoff{}}));
+    BOOST_TEST((statement("3") == BackoffStatement{Backoff{3s}}));
+    BOOST_TEST((statement(" 0.25 ") == BackoffStatement{Backoff{250ms}}));
+    BOOST_TEST((statement("0") == BackoffStatement{Backoff{0s}}));
+    BOOST_TEST((statement("1e300") == BackoffStatement{Backoff{std::chrono::hours{365 * 24}}}));
+    const std::string date = "Fri, 31 Dec 1999 23:59:59 GMT";
+    for (const std::string &wrong : {std::string{}, std::string{"-1"}, std::string{"nan"},
+                                     std::string{"3 s"}, std::string{"1e999"}, date})
+        BOOST_TEST((statement(wrong) == BackoffStatement{UnreadableBackoff{wrong}}), wrong);
+    const std::vector<io::HttpHeader> several{
+        {"Retry-After", "2"}, {"retry-after", "4"}, {"Retry-After", "x"}, {"Retry-After", "1"}};
+    BOOST_TEST((backoffOf(503, several) == BackoffStatement{Backoff{4s}}));
+    BOOST_TEST((backoffOf(429, several) == BackoffStatement{Backoff{4s}}));
+    BOOST_TEST((backoffOf(200, several) == BackoffStatement{NoBackoff{}}));
+}
+
+BOOST_AUTO_TEST_CASE(serverAnnouncesInAnyAnswerThatItLeaves)
+{
+    const auto isLeaving = [](const std::vector<io::HttpHeader> &headers) {
+        return serverStatement(200, headers, ServerName{"i-1"}).isLeaving;
+    };
+    BOOST_TEST(isLeaving({{"server-leaving", " 1 "}}));
+    BOOST_TEST(isLeaving({{"X-Bulrushswitch-Server-Leaving", "1"}}));
+    BOOST_TEST(!isLeaving({{"Server-Leaving", "0"}}));
+    BOOST_TEST(!isLeaving({{"Connection", "close"}}));
 }
 
 BOOST_AUTO_TEST_CASE(fieldsThatAreNotKnownAreFound)
