--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -412,6 +412,20 @@
     m_http.post(server(id).address() + "/_control", json.toStyledString());
 }
 
+void EntryFleet::askForBackoff(const std::string &id, const std::string &retryAfter)
+{
+    Json::Value json;
+    json["backoff"] = retryAfter;
+    m_http.post(server(id).address() + "/_control", json.toStyledString());
+}
+
+void EntryFleet::announceLeaving(const std::string &id)
+{
+    Json::Value json;
+    json["leaving"] = true;
+    m_http.post(server(id).address() + "/_control", json.toStyledString());
+}
+
 void EntryFleet::partition(const std::string &id, const std::vector<std::string> &hosts,
                            Partition kind)
 {
@@ -512,6 +526,17 @@
     return all;
 }
 
+std::vector<RequestArrival> EntryFleet::arrivals(const std::string &id)
+{
+    std::vector<RequestArrival> all;
+    const Json::Value json = recordOf(server(id));
+    for (const Json::Value &entry : json["arrivals"])
+        all.push_back({entry["from"].asString(), entry["request"].asString(),
+                       std::chrono::microseconds{entry["atUs"].asInt64()},
+                       entry["refused"].asBool()});
+    return all;
+}
+
 std::uint64_t EntryFleet::lowestFence(const std::string &id)
 {
     return recordOf(server(id))["lowestFence"].asUInt64();
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -49,6 +49,17 @@
     std::int64_t endUs = 0;
 };
 
+/** A request that reached a backend server. */
+struct RequestArrival
+{
+    /** The address of the daemon that sent it. */
+    std::string from;
+    std::string request;
+    std::chrono::microseconds at{};
+    /** The server refused it and asked for a pause. */
+    bool isRefused = false;
+};
+
 /**
  * The store, backend servers and entry daemons as real processes on loopback addresses. The
  * configuration has the host `shop.example` with `/read/` (idempotent, service catalogue, divided
@@ -155,6 +166,15 @@
      */
     void nameLimit(const std::string &id, const std::string &limit);
 
+    /**
+     * Makes the server refuse all requests with \a retryAfter, the seconds for which it wants no
+     * more from the sender; it serves again if \a retryAfter is empty.
+     */
+    void askForBackoff(const std::string &id, const std::string &retryAfter);
+
+    /** Makes the server announce in each of its answers that it leaves. */
+    void announceLeaving(const std::string &id);
+
     /** Which connections between daemons and a server a partition affects. */
     enum class Partition {
         AllConnections,
@@ -192,6 +212,9 @@
     /** \returns all requests that running servers have run, sorted by start. */
     std::vector<RequestRun> runs();
 
+    /** \returns all requests that reached the running server \a id, in order. */
+    std::vector<RequestArrival> arrivals(const std::string &id);
+
     /** \returns the lowest (highest) fence of the grants that the server received. */
     std::uint64_t lowestFence(const std::string &id);
     std::uint64_t highestFence(const std::string &id);
--- /dev/null
+++ b/tests/entryfleet/test_entrybackoffs.cpp
@@ -0,0 +1,53 @@
+#define BOOST_TEST_MODULE EntryBackoffs
+
+#include "entryfleet/noticefleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <string>
+
+using namespace bulrush::test;
+using namespace std::chrono_literals;
+
+BOOST_FIXTURE_TEST_CASE(ownerThatAskedForAPauseGetsNoRequestsUntilItsEnd, NoticeFleet)
+{
+    const std::string owner = busiestOwner();
+    askForBackoff(owner, "3");
+    const FirstAttempts during = sumOf(sendFor(6s));
+    BOOST_TEST_MESSAGE("during the pause: served " << during.served << " of " << during.sent);
+    BOOST_TEST(refusedDaemonCount(owner) == 6);
+    BOOST_TEST(mostDuringPause(owner, 3s) <= allowedDuringPause);
+    askForBackoff(owner, "");
+    std::this_thread::sleep_for(3s);
+    const FirstAttempts after = sumOf(sendFor(3s));
+    BOOST_TEST(after.served * 20 >= after.sent * 19);
+    expectHonestOutcomes();
+}
+
+BOOST_FIXTURE_TEST_CASE(serverWithoutKeysThatAskedForAPauseIsLeftToOthers, NoticeFleet)
+{
+    askForBackoff("p1", "1.5");
+    const FirstAttempts during = sumOf(sendFor(6s));
+    BOOST_TEST_MESSAGE("during the pause: served " << during.served << " of " << during.sent);
+    BOOST_TEST(refusedDaemonCount("p1") > 0);
+    BOOST_TEST(mostDuringPause("p1", 1500ms) <= allowedDuringPause);
+    BOOST_TEST(during.served * 50 >= during.sent * 49);
+    expectHonestOutcomes();
+}
+
+BOOST_FIXTURE_TEST_CASE(callersAreRefusedAtOnceWhileAllServersOfAServiceAskForAPause, NoticeFleet)
+{
+    askForBackoff("p1", "10");
+    askForBackoff("p2", "10");
+    sendFor(1s);
+    const auto before = Clock::now();
+    constexpr int requestCount = 20;
+    for (int i = 0; i < requestCount; ++i) {
+        const SyncHttpResult answer = send("a1", "POST", "/pay/x", std::nullopt, "x");
+        BOOST_TEST(answer.status == 503);
+    }
+    BOOST_TEST((Clock::now() - before < requestCount * 50ms));
+    BOOST_TEST(mostDuringPause("p1", 10s) <= allowedDuringPause);
+    BOOST_TEST(mostDuringPause("p2", 10s) <= allowedDuringPause);
+}
--- a/tests/standins/keyed/keyedserver.cpp
+++ b/tests/standins/keyed/keyedserver.cpp
@@ -189,10 +189,14 @@
     if (isOverloadedWhileCold())
         std::_Exit(crashExitCode);
     Work work{request, headerField(request, requestIdHeader), parsedShardKey(request), 0};
+    m_arrivals.push_back({nowUs(), request->remote_endpoint().address().to_string(), work.requestId,
+                          !m_backoff.empty()});
+    if (!m_backoff.empty()) {
+        refuse(request, 503, {{"Retry-After", m_backoff}});
+        return;
+    }
     if (m_settings.requiresGrant && (!work.key || !m_leases.holds(*work.key, now()))) {
-        std::vector<HeaderField> headers = answerHeaders(work.requestId);
-        headers.push_back({"X-Bulrushswitch-Not-Executed", "1"});
-        Listener::send(request, {421, headers, {}});
+        refuse(request, 421, {});
         return;
     }
     if (m_running.size() < m_settings.slots) {
@@ -207,9 +211,17 @@
         m_unansweredRequests.push_back(request);
         return;
     }
-    std::vector<HeaderField> headers = answerHeaders(work.requestId);
+    refuse(request, 503, {});
+}
+
+/** States in an answer with \a headers that \a request did not run. */
+void KeyedServer::refuse(const RequestHandle &request, int status,
+                         std::vector<HeaderField> headers) const
+{
+    const std::vector<HeaderField> common = answerHeaders(headerField(request, requestIdHeader));
+    headers.insert(headers.end(), common.begin(), common.end());
     headers.push_back({"X-Bulrushswitch-Not-Executed", "1"});
-    Listener::send(request, {503, headers, {}});
+    Listener::send(request, {status, std::move(headers), {}});
 }
 
 void KeyedServer::start(Work work)
@@ -302,6 +314,8 @@
                                      {"X-Bulrushswitch-Server-Load", load}};
     if (!m_namedLimit.empty())
         headers.push_back({"Server-Limit", m_namedLimit});
+    if (m_isLeaving)
+        headers.push_back({"Server-Leaving", "1"});
     return headers;
 }
 
@@ -315,6 +329,8 @@
 void KeyedServer::setFaults(const Json::Value &json)
 {
     m_namedLimit = json["namedLimit"].asString();
+    m_backoff = json["backoff"].asString();
+    m_isLeaving = json["leaving"].asBool();
     const Json::Value &faults = json["spoilAnswers"];
     m_answerFaults.clear();
     for (const std::string &name : faults.getMemberNames()) {
@@ -349,8 +365,18 @@
         json["endUs"] = Json::Int64{run.endUs};
         entries.append(std::move(json));
     }
+    Json::Value arrivals{Json::arrayValue};
+    for (const Arrival &arrival : m_arrivals) {
+        Json::Value json;
+        json["atUs"] = Json::Int64{arrival.atUs};
+        json["from"] = arrival.from;
+        json["request"] = arrival.requestId;
+        json["refused"] = arrival.isRefused;
+        arrivals.append(std::move(json));
+    }
     Json::Value json;
     json["runs"] = std::move(entries);
+    json["arrivals"] = std::move(arrivals);
     json["lowestFence"] = Json::UInt64{m_lowestFence};
     json["highestFence"] = Json::UInt64{m_highestFence};
     return json;
--- a/tests/standins/keyed/keyedserver.h
+++ b/tests/standins/keyed/keyedserver.h
@@ -60,8 +60,8 @@
  * of keys with fencing tokens, and confirms a release once no request for its keys is running any
  * more. `GET /_control` lists the requests that were executed; `POST /_control` sets how many
  * answers are faulty and in which way, how many orders (grants and releases) are left unanswered
- * and executed late, which limit answers name, and the callers from which the server is
- * partitioned.
+ * and executed late, which limit answers name, whether they announce that the server leaves, the
+ * pause with which all requests are refused, and the callers from which the server is partitioned.
  *
  * Not thread safe: to be used on the event loop's thread only.
  */
@@ -91,6 +91,17 @@
         std::int64_t endUs = 0;
     };
 
+    /** A request that reached the server. */
+    struct Arrival
+    {
+        std::int64_t atUs = 0;
+        /** The address that it came from, without the port. */
+        std::string from;
+        std::string requestId;
+        /** It was refused with a pause. */
+        bool isRefused = false;
+    };
+
     /** A release that is answered once no request for its keys is running. */
     struct PendingRelease
     {
@@ -105,6 +116,7 @@
     void executeDelayed(const RequestHandle &request, std::function<void()> order);
     void answerCompletedReleases();
     void acceptWork(const RequestHandle &request);
+    void refuse(const RequestHandle &request, int status, std::vector<HeaderField> headers) const;
     void start(Work work);
     void finish(std::list<Work>::iterator entry);
     bool triggersCrash(const Work &work) const;
@@ -126,6 +138,7 @@
     std::vector<RequestHandle> m_unansweredRequests;
     std::list<PendingRelease> m_pendingReleases;
     std::vector<RunRecord> m_runs;
+    std::vector<Arrival> m_arrivals;
     /** Lowest and highest fencing token of all grants received; none yet if lowest > highest. */
     std::uint64_t m_lowestFence = std::numeric_limits<std::uint64_t>::max();
     std::uint64_t m_highestFence = 0;
@@ -135,6 +148,9 @@
     int m_ordersToDelay = 0;
     /** The value of the limit in each answer; empty if answers name none. */
     std::string m_namedLimit;
+    /** The value of Retry-After with which all requests are refused; empty if none are. */
+    std::string m_backoff;
+    bool m_isLeaving = false;
     std::chrono::milliseconds m_orderDelay{0};
     std::chrono::steady_clock::time_point m_startedAt = std::chrono::steady_clock::now();
     /** When the requests of the last second arrived, while the server is cold. */
