Follow a server's announcement in its answers that it leaves

What callers could see: a server that announces its end (Server-Leaving) while the store does not tell, or is away, gets requests until it is gone.

Cause, the same class as the pauses: no code read the announcement.

Change: each daemon that passes such an answer on, its own or a relayed one, takes the earlier of the words of store and server. A server without keys gets no more requests, an owner those for its keys for 0.7 of the bound. One daemon's report is enough, as the server may answer one daemon only before it stops.

--- a/src/libbulrush/process/drainbudget.h
+++ b/src/libbulrush/process/drainbudget.h
@@ -77,6 +77,15 @@
         return part(70);
     }
 
+    /**
+     * A server that announced in an answer to this daemon that it leaves gets requests for its keys
+     * until this long after the answer. No reader or follower shares this bound.
+     */
+    constexpr Duration maxAnnouncedAge() const
+    {
+        return part(70);
+    }
+
     /**
      * Requests that wait for a connection are sent until then. The rest of the bound is for the
      * transfer: on a link of 10 Mbit/s, bytes wait up to 0.6 s behind uploads.
--- a/src/libbulrush/process/serverdirectory.cpp
+++ b/src/libbulrush/process/serverdirectory.cpp
@@ -96,6 +96,15 @@
     return true;
 }
 
+bool ServerDirectory::markLeaving(const ServerName &id, Instant now)
+{
+    const auto place = m_servers.find(id);
+    if (place == m_servers.end() || place->second.leavingSince)
+        return false;
+    place->second.leavingSince = now;
+    return true;
+}
+
 void ServerDirectory::setColdStarts(std::map<ServiceName, ColdStart> coldStarts)
 {
     m_coldStarts = std::move(coldStarts);
--- a/src/libbulrush/process/serverdirectory.h
+++ b/src/libbulrush/process/serverdirectory.h
@@ -37,6 +37,9 @@
      * to be.
      */
     std::optional<Instant> evacuatedAfter = std::nullopt;
+    /** Set once it announced in an answer to some daemon that it leaves, whatever its record says.
+     */
+    std::optional<Instant> leavingSince = std::nullopt;
     /** Until then it is cold, or may be. */
     Instant coldUntil{};
     /** Requests per second that it bears while it is cold; 0 if there is no such limit. */
@@ -97,6 +100,12 @@
      */
     bool markStopped(const ServerName &id, Instant now);
 
+    /**
+     * Records that the server \a id announced that it leaves. \returns whether this was not
+     * recorded before; false if the server is unknown.
+     */
+    bool markLeaving(const ServerName &id, Instant now);
+
     /** Sets how the servers of each service behave when cold; others have no limit. */
     void setColdStarts(std::map<ServiceName, ColdStart> coldStarts);
 
@@ -144,7 +153,7 @@
 
 inline bool KnownServer::isReady() const
 {
-    return !record.isDraining && !removedSince && !evacuatedAfter;
+    return !record.isDraining && !leavingSince && !removedSince && !evacuatedAfter;
 }
 
 inline bool KnownServer::isCold(Instant now) const
--- a/src/libbulrush/request/serverpicker.cpp
+++ b/src/libbulrush/request/serverpicker.cpp
@@ -64,6 +64,8 @@
         latest = *server.drainsAfter + m_drainBudget.maxSendAge();
     else if (!m_serverFreshness.isStoreUnreachable)
         latest = m_serverFreshness.asOf + m_drainBudget.maxSendAge();
+    if (const auto leavingSince = m_notices.leavingSince(server.record.id))
+        latest = std::min(latest, *leavingSince + m_drainBudget.maxSendAge());
     if (server.evacuatedAfter)
         return std::min(latest, *server.evacuatedAfter + m_evacuationBudget.maxSendAge());
     if (!m_evacuationFreshness.isStoreUnreachable)
@@ -71,6 +73,19 @@
     return latest;
 }
 
+/** \returns whether \a server may get requests without a key. */
+bool ServerPicker::isReady(const KnownServer &server) const
+{
+    return server.isReady() && !m_notices.leavingSince(server.record.id);
+}
+
+/** \returns how long ago \a server announced that it leaves; zero if it did not. */
+Duration ServerPicker::announcedAge(const ServerName &server, Instant now) const
+{
+    const std::optional<Instant> since = m_notices.leavingSince(server);
+    return since ? now - *since : Duration::zero();
+}
+
 /**
  * \returns whether the data is so old that any server may drain or be evacuated by now. Newer data
  * is pending.
@@ -125,7 +140,7 @@
     }
     ServerEstimate result{Duration::max(), 0.0, {}};
     for (const KnownServer &server : state.serversOf(demand.service)) {
-        if (!server.isReady() || m_notices.isBackingOff(server.record.id, now)
+        if (!isReady(server) || m_notices.isBackingOff(server.record.id, now)
             || admission(state, server, now) == SlowStartAdmission::NotSender)
             continue;
         result.latency = std::min(result.latency, m_gauges.expectedLatency(server.record, now));
@@ -150,6 +165,8 @@
         return nullptr;
     if (server->drainsAfter && now - *server->drainsAfter > m_drainBudget.maxDrainingAge())
         return nullptr;
+    if (announcedAge(server->record.id, now) > m_drainBudget.maxAnnouncedAge())
+        return nullptr;
     if (server->evacuatedAfter && now - *server->evacuatedAfter > m_evacuationBudget.maxOwnerAge())
         return nullptr;
     return server;
@@ -196,7 +213,7 @@
     std::uint64_t index = 0;
     for (const KnownServer &server : state.serversOf(demand.service)) {
         ++index;
-        if (!server.isReady())
+        if (!isReady(server))
             continue;
         const SlowStartAdmission admitted = admission(state, server, now);
         if (admitted == SlowStartAdmission::NotSender) {
@@ -245,7 +262,8 @@
 
 bool ServerPicker::isStillWanted(const ServerName &server, Instant now) const
 {
-    return !m_notices.isBackingOff(server, now);
+    return !m_notices.isBackingOff(server, now)
+        && announcedAge(server, now) <= m_drainBudget.maxSendAge();
 }
 
 Instant ServerPicker::backoffEnd(const RoutingState &state, const ServerDemand &demand,
@@ -263,7 +281,7 @@
         return end;
     }
     for (const KnownServer &server : state.serversOf(demand.service)) {
-        if (server.isReady() && !wasTried(demand, server.record.id))
+        if (isReady(server) && !wasTried(demand, server.record.id))
             consider(server);
     }
     return end;
--- a/src/libbulrush/request/serverpicker.h
+++ b/src/libbulrush/request/serverpicker.h
@@ -77,9 +77,10 @@
  * confirmed not to drain. This applies to the owner of a key that drains, until its keys have
  * moved, and to any server if there is no newer routing data although the store answers. Otherwise
  * one slow hop in the propagation of routing data would cause requests to servers that have left.
- * The same applies to servers of evacuated failure domains. Cold servers are used as SlowStart
- * permits. Servers that name a limit are chosen while permits for them can be queried. Servers that
- * asked for a pause get no requests until its end.
+ * The same applies to servers of evacuated failure domains, and to those that announced in an
+ * answer that they leave. Cold servers are used as SlowStart permits. Servers that name a limit are
+ * chosen while permits for them can be queried. Servers that asked for a pause get no requests
+ * until its end.
  *
  * Not thread safe.
  */
@@ -149,6 +150,8 @@
                            Instant now) const;
     SlowStartAdmission admission(const RoutingState &state, const KnownServer &server,
                                  Instant now) const;
+    bool isReady(const KnownServer &server) const;
+    Duration announcedAge(const ServerName &server, Instant now) const;
     bool isClosed(const ServerDemand &demand, const ServerName &server, Instant now) const;
     bool mayAnyServerBeLeaving(Instant now) const;
     Duration costOf(const ServerRecord &server, const ServerDemand &demand, Instant now) const;
--- a/src/libbulrush/version/serviceload.h
+++ b/src/libbulrush/version/serviceload.h
@@ -42,6 +42,8 @@
     /** Servers at whose address another server answered. */
     std::vector<ServerName> ended;
     std::vector<LimitReport> limits = {};
+    /** Servers that announced in an answer that they leave. */
+    std::vector<ServerName> leaving = {};
 
     bool operator==(const LoadSample &) const = default;
 };
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -231,7 +231,7 @@
 {
     recordBackoff(answer, statement.backoff);
     if (statement.isLeaving)
-        recordLeaving(answer);
+        recordLeaving(answer.server, answer.request);
     return recordLimit(answer, statement);
 }
 
@@ -299,13 +299,15 @@
         / steps;
 }
 
-void ForwardContext::recordLeaving(const Answer &answer)
+void ForwardContext::recordLeaving(const ServerName &server, const std::string &request)
 {
-    if (!notices.recordLeaving(answer.server, io::hostNow()))
+    if (!notices.recordLeaving(server, io::hostNow()))
         return;
     counters.add(EntryCounter::ServersLeaving);
     io::logEvent(LogLevel::Info, "server-leaving",
-                 {{"server", answer.server.value()}, {"request", answer.request}});
+                 {{"server", server.value()}, {"source", "answer"}, {"request", request}});
+    if (leavingHandler)
+        leavingHandler();
 }
 
 void ForwardContext::recordServerReached(const ServerName &server)
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -87,6 +87,8 @@
     CrashHandlers crashHandlers;
     /** Called on this thread. */
     PermitHandler permits;
+    /** Called on this thread when a server first announces that it leaves. */
+    std::function<void()> leavingHandler;
     /** Servers that were found to be replaced, since the last report to the planner. */
     std::map<ServiceName, std::set<ServerName>> stoppedServers;
     /** Requested keys of services that are divided by key, since the last report to the planner. */
@@ -125,6 +127,9 @@
     /** Applies what \a answer states about its server. \returns what changed about its limit. */
     LimitChange recordStatement(const Answer &answer, const ServerStatement &statement);
 
+    /** Records that \a server announced in the answer to \a request that it leaves. */
+    void recordLeaving(const ServerName &server, const std::string &request);
+
     /** Records that \a server answered, or that a connection to it was established. */
     void recordServerReached(const ServerName &server);
 
@@ -162,7 +167,6 @@
     LimitChange recordLimit(const Answer &answer, const ServerStatement &statement);
     void recordBackoff(const Answer &answer, const BackoffStatement &statement);
     Duration returnDelay(const ServerName &server, const Backoff &backoff) const;
-    void recordLeaving(const Answer &answer);
     void removeStaleNotices();
     void handleRemovedServers();
     void logRoutes(const RoutingState &published);
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -610,6 +610,7 @@
     const std::string &reason = result.statement.reason;
     switch (result.statement.outcome) {
     case RelayOutcome::Answered:
+        recordRelayedStatement(result);
         returnAnswer(result.response);
         return;
     case RelayOutcome::NotRun:
@@ -631,6 +632,16 @@
     }
 }
 
+/** Records what an answer that this daemon passes on states about its server. */
+void ForwardExchange::recordRelayedStatement(const RelayResult &result)
+{
+    const ServerName &server = result.statement.server;
+    const io::HttpResponse &response = result.response;
+    if (!server.isEmpty()
+        && platform::serverStatement(response.status, response.headers, server).isLeaving)
+        m_context.recordLeaving(server, m_terms.id);
+}
+
 /** Records when the daemon that refused the relayed request lets its caller return. */
 void ForwardExchange::recordRelayedBackoff(const io::HttpResponse &response)
 {
@@ -763,7 +774,9 @@
 void ForwardExchange::send(io::HttpResponse response, RelayOutcome outcome, std::string_view reason)
 {
     if (m_relayed)
-        addRelayStatement(response.headers, {outcome, std::string{reason}});
+        addRelayStatement(response.headers,
+                          {outcome, std::string{reason},
+                           outcome == RelayOutcome::Answered ? m_server : ServerName{}});
     m_writer->send(response);
 }
 
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -89,6 +89,7 @@
     void handleUnreachedServer();
     bool relay();
     void handleRelayResult(const RelayResult &result);
+    void recordRelayedStatement(const RelayResult &result);
     void recordRelayedBackoff(const io::HttpResponse &response);
     bool retryOnOtherServer();
     bool scheduleRetry(Duration delay);
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -115,6 +115,11 @@
     m_context.permits = std::move(handler);
 }
 
+void ForwardWorker::setLeavingHandler(std::function<void()> handler)
+{
+    m_context.leavingHandler = std::move(handler);
+}
+
 void ForwardWorker::handlePermit(const PermitAnswer &answer,
                                  std::function<void(const PermitAnswer &)> handler)
 {
@@ -223,6 +228,14 @@
             sample.limits.push_back(std::move(report));
         }
     }
+    for (const auto &[server, notice] : m_context.notices.notices()) {
+        const std::optional<ServiceName> service = keyedServiceOf(server);
+        if (service && notice.leavingSince) {
+            LoadSample &sample = samples[*service];
+            sample.service = *service;
+            sample.leaving.push_back(server);
+        }
+    }
     for (auto &[service, servers] : std::exchange(m_context.stoppedServers, {})) {
         samples[service].service = service;
         samples[service].ended.assign(servers.begin(), servers.end());
--- a/src/libbulrushentry/forwardworker.h
+++ b/src/libbulrushentry/forwardworker.h
@@ -67,6 +67,12 @@
      */
     void setPermitHandler(PermitHandler handler);
 
+    /**
+     * Sets the handler, called on the traffic thread, for the first announcement of a server that
+     * it leaves, so that its load can be reported early. \pre start() was not called
+     */
+    void setLeavingHandler(std::function<void()> handler);
+
     /** Passes \a answer to \a handler on the traffic thread. Thread safe. */
     void handlePermit(const PermitAnswer &answer,
                       std::function<void(const PermitAnswer &)> handler);
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -199,6 +199,8 @@
     for (const LoadSample &sample : samples) {
         for (const ServerName &server : sample.ended)
             m_deps.state.recordServerStopped(server);
+        for (const ServerName &server : sample.leaving)
+            m_deps.state.recordServerLeaving(server);
     }
 }
 
--- a/src/libbulrushentry/keycontrol.h
+++ b/src/libbulrushentry/keycontrol.h
@@ -81,7 +81,10 @@
      */
     bool isStoreReached() const;
 
-    /** Adds loads reported by a daemon, if this one is the planner, and records stopped servers. */
+    /**
+     * Adds loads reported by a daemon, if this one is the planner, and records the servers that
+     * have stopped or leave.
+     */
     void addLoads(std::span<const LoadSample> samples);
 
     /** \returns the keys with more requests than can be served, if this daemon is the planner. */
--- a/src/libbulrushentry/relaymessage.cpp
+++ b/src/libbulrushentry/relaymessage.cpp
@@ -14,6 +14,7 @@
 constexpr std::string_view configField = "X-Bulrush-Relayed-Config";
 constexpr std::string_view outcomeField = "X-Bulrush-Relay-Outcome";
 constexpr std::string_view reasonField = "X-Bulrush-Relay-Reason";
+constexpr std::string_view serverField = "X-Bulrush-Relay-Server";
 
 constexpr std::array<std::pair<RelayOutcome, std::string_view>, 7> outcomeNames = {{
     {RelayOutcome::Answered, "answered"},
@@ -65,6 +66,8 @@
 {
     add(headers, outcomeField, nameOf(statement.outcome));
     add(headers, reasonField, statement.reason);
+    if (!statement.server.isEmpty())
+        add(headers, serverField, statement.server.value());
 }
 
 std::optional<RelayStatement> relayStatement(std::span<const io::HttpHeader> headers)
@@ -73,9 +76,10 @@
     const io::HttpHeader *reason = io::findField(headers, reasonField);
     if (!outcome || !reason)
         return std::nullopt;
+    const io::HttpHeader *server = io::findField(headers, serverField);
     for (const auto &[known, name] : outcomeNames) {
         if (name == outcome->value)
-            return RelayStatement{known, reason->value};
+            return RelayStatement{known, reason->value, ServerName{server ? server->value : ""}};
     }
     return std::nullopt;
 }
@@ -86,7 +90,8 @@
         return io::isSameFieldName(header.name, fromField)
             || io::isSameFieldName(header.name, configField)
             || io::isSameFieldName(header.name, outcomeField)
-            || io::isSameFieldName(header.name, reasonField);
+            || io::isSameFieldName(header.name, reasonField)
+            || io::isSameFieldName(header.name, serverField);
     });
 }
 
--- a/src/libbulrushentry/relaymessage.h
+++ b/src/libbulrushentry/relaymessage.h
@@ -37,6 +37,8 @@
 {
     RelayOutcome outcome = RelayOutcome::Unknown;
     std::string reason;
+    /** The server that gave the answer; empty if none did. */
+    ServerName server = {};
 };
 
 /** \returns the name of \a outcome in messages and logs. Thread safe. */
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -105,6 +105,14 @@
     publish();
 }
 
+void StatePublisher::recordServerLeaving(const ServerName &id)
+{
+    if (!m_directory.markLeaving(id, io::hostNow()))
+        return;
+    io::logEvent(LogLevel::Info, "server-leaving", {{"server", id.value()}, {"source", "report"}});
+    publish();
+}
+
 void StatePublisher::advance(Instant now)
 {
     if (m_directory.advance(now))
--- a/src/libbulrushentry/statepublisher.h
+++ b/src/libbulrushentry/statepublisher.h
@@ -59,6 +59,9 @@
     /** Records that the server \a id has stopped, even if its record still exists. */
     void recordServerStopped(const ServerName &id);
 
+    /** Records that the server \a id announced to some daemon that it leaves. */
+    void recordServerLeaving(const ServerName &id);
+
     /** Handles what has become due by \a now. To be called often. */
     void advance(Instant now);
 
--- a/src/libbulrushio/version/loadsamplecodec.cpp
+++ b/src/libbulrushio/version/loadsamplecodec.cpp
@@ -51,6 +51,8 @@
     json["ended"] = io::jsonOf(sample.ended);
     for (const LimitReport &report : sample.limits)
         json["limits"].append(jsonOf(report));
+    if (!sample.leaving.empty())
+        json["leaving"] = io::jsonOf(sample.leaving);
     return json;
 }
 
@@ -106,6 +108,9 @@
             return std::nullopt;
         sample.limits.push_back(std::move(*report));
     }
+    // Daemons of older versions send no such list.
+    if (json.isMember("leaving"))
+        sample.leaving = readServerNames(reader, "leaving");
     if (!reader.isValid())
         return std::nullopt;
     return sample;
--- a/tests/forwardworker/test_peerrelays.cpp
+++ b/tests/forwardworker/test_peerrelays.cpp
@@ -53,7 +53,9 @@
                                       asio::use_awaitable);
         const std::string body = buffer.substr(0, length);
         buffer.erase(0, length);
-        const std::string start = answerHead(head);
+        std::string start = answerHead(head);
+        if (head.find("/leaving") != std::string::npos)
+            start += "Server-Leaving: 1\r\n";
         if (head.find("/hang") != std::string::npos) {
             co_await ScriptedServer::drain(socket);
             record.wasClosed = true;
@@ -149,6 +151,25 @@
     BOOST_TEST(result.header("X-Bulrushswitch-Request-Id").has_value());
 }
 
+BOOST_FIXTURE_TEST_CASE(announcementInARelayedAnswerBindsTheDaemonThatPassesItOn, Fixture)
+{
+    BOOST_TEST(cutOff.send("/leaving").status == 200);
+    const std::string told = fieldOf(record.heads().at(0), "X-Bulrushswitch-Target-Instance");
+    BOOST_TEST(count(cutOff, EntryCounter::ServersLeaving) == 1U);
+    helper->stop();
+    const Endpoint address = endpointOf(backend.address());
+    cutOff.setState(routingState({address, address, address, address}));
+    for (int i = 0; i < 100 && cutOff.send("/pay").status != 200; ++i)
+        std::this_thread::sleep_for(50ms);
+    const std::size_t before = record.heads().size();
+    for (int i = 0; i < 40; ++i)
+        BOOST_TEST(cutOff.send("/pay").status == 200);
+    const std::vector<std::string> heads = record.heads();
+    BOOST_TEST(heads.size() == before + 40);
+    for (std::size_t i = before; i < heads.size(); ++i)
+        BOOST_TEST(fieldOf(heads[i], "X-Bulrushswitch-Target-Instance") != told);
+}
+
 BOOST_FIXTURE_TEST_CASE(callersCloseReachesTheServer, Fixture)
 {
     asio::io_context loop;
--- a/tests/keydecisions/test_keycodecs.cpp
+++ b/tests/keydecisions/test_keycodecs.cpp
@@ -95,7 +95,8 @@
                    {1, 2, keyPositionCount - 1},
                    {{ServerName{"i-1"}, 250ms, 3}},
                    {ServerName{"i-2"}},
-                   {{ServerName{"i-1"}, 5.25, 70ms}, {ServerName{"i-3"}, std::nullopt, 10ms}}}};
+                   {{ServerName{"i-1"}, 5.25, 70ms}, {ServerName{"i-3"}, std::nullopt, 10ms}},
+                   {ServerName{"i-4"}}}};
     const auto back = io::decodeLoadSamples(io::encodeLoadSamples(samples));
     BOOST_REQUIRE(back.has_value());
     BOOST_TEST((back->front() == samples.front()));
--- a/tests/relays/test_relaymessage.cpp
+++ b/tests/relays/test_relaymessage.cpp
@@ -34,11 +34,14 @@
          {RelayOutcome::Answered, RelayOutcome::NotRun, RelayOutcome::Denied, RelayOutcome::CutOff,
           RelayOutcome::Unavailable, RelayOutcome::Unknown, RelayOutcome::Rejected}) {
         std::vector<io::HttpHeader> headers;
-        addRelayStatement(headers, {outcome, "server-unreachable"});
+        addRelayStatement(headers, {outcome, "server-unreachable", ServerName{"i-1"}});
         const auto statement = relayStatement(headers);
         BOOST_REQUIRE(statement.has_value());
         BOOST_TEST((statement->outcome == outcome));
         BOOST_TEST(statement->reason == "server-unreachable");
+        BOOST_TEST(statement->server.value() == "i-1");
+        removeRelayFields(headers);
+        BOOST_TEST(headers.empty());
     }
 }
 
--- a/tests/requestqueue/test_requestqueue.cpp
+++ b/tests/requestqueue/test_requestqueue.cpp
@@ -173,6 +173,32 @@
     BOOST_TEST(dispatch(start + 300ms).size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(serverThatAnnouncedToLeaveGetsOnlyRequestsForItsKeysAndNotForLong, Fixture)
+{
+    notices.recordLeaving(ServerName{"p1"}, start);
+    notices.recordLeaving(ServerName{"c1"}, start);
+    queue.add(request(plain, start));
+    queue.add(keyedRequest(5, start));
+    const auto sent = dispatch(start + 1400ms);
+    BOOST_TEST(sent.at(1) == "p2");
+    BOOST_TEST(sent.at(2) == "c1"); // until its keys have moved
+    queue.add(keyedRequest(5, start + 1400ms));
+    BOOST_TEST(dispatch(start + 1401ms).empty());
+    BOOST_TEST((picker.maxSendAge(state.servers[keyed][0]) == start + 1500ms));
+    BOOST_TEST(picker.isStillWanted(ServerName{"c1"}, start + 1500ms));
+    BOOST_TEST(!picker.isStillWanted(ServerName{"c1"}, start + 1501ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(earlierOfTheWordsOfStoreAndServerBoundsALeavingOwner, Fixture)
+{
+    state.servers[keyed][0].record.isDraining = true;
+    state.servers[keyed][0].drainsAfter = start;
+    notices.recordLeaving(ServerName{"c1"}, start + 800ms);
+    queue.add(keyedRequest(5, start));
+    BOOST_TEST(dispatch(start + 1001ms).empty());
+    BOOST_TEST((picker.maxSendAge(state.servers[keyed][0]) == start + 1500ms));
+}
+
 BOOST_FIXTURE_TEST_CASE(drainingServerReceivesNoRequests, Fixture)
 {
     state.servers[plain][0].record.isDraining = true;
--- a/tests/routing/test_serverdirectory.cpp
+++ b/tests/routing/test_serverdirectory.cpp
@@ -197,3 +197,16 @@
     BOOST_TEST(directory.find(ServerName{"one"})->isCold(start + 11999ms));
     BOOST_TEST(!directory.find(ServerName{"one"})->isCold(start + 12s));
 }
+
+BOOST_AUTO_TEST_CASE(serverThatAnnouncedToLeaveIsNotReadyWhateverItsRecordSays)
+{
+    ServerDirectory directory;
+    directory.applyRecord(record("i-1"), start, start);
+    BOOST_TEST(directory.find(ServerName{"i-1"})->isReady());
+    BOOST_TEST(directory.markLeaving(ServerName{"i-1"}, start + 1s));
+    BOOST_TEST(!directory.markLeaving(ServerName{"i-1"}, start + 2s));
+    BOOST_TEST(!directory.markLeaving(ServerName{"unknown"}, start + 1s));
+    BOOST_TEST(!directory.find(ServerName{"i-1"})->isReady());
+    directory.applyRecord(record("i-1"), start + 2s, start + 2s);
+    BOOST_TEST(!directory.find(ServerName{"i-1"})->isReady());
+}
