Move keys from owners that ask for pauses and refuse most of their callers

Change: daemons report the requests that they refuse for a pause. The planner gives the keys to other servers if these are at least 0.4 of the demand and the pause goes on for a move's time; the server gets keys again at the end, and later if it asks again at once. If more than half of a service's servers ask, all keep their keys.

--- a/src/libbulrush/process/keycoordinator.h
+++ b/src/libbulrush/process/keycoordinator.h
@@ -88,6 +88,8 @@
      * others could not serve all keys.
      */
     static constexpr double maxExcludedColdFraction = 0.75;
+    /** The same for servers that asked for pauses. */
+    static constexpr double maxExcludedPausedFraction = 0.5;
 
     /**
      * A service is planned again this long after a commit of its assignment has failed. Rejected
@@ -239,7 +241,8 @@
                                                 const ServerDirectory &servers, bool isRoundDue,
                                                 Instant now);
     std::vector<KeyServer> readyServers(const ServiceName &service, const ServerDirectory &servers,
-                                        Instant now) const;
+                                        Instant now);
+    std::set<ServerName> pausedServers(const ServiceName &service, Instant now);
 
     DaemonIdentity m_self;
     PlannerLease m_lease;
--- a/src/libbulrush/version/serviceload.cpp
+++ b/src/libbulrush/version/serviceload.cpp
@@ -1,6 +1,8 @@
 #include "version/serviceload.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numbers>
 #include <utility>
 
 namespace bulrush {
@@ -32,6 +34,8 @@
     }
     for (const LimitReport &report : sample.limits)
         addLimit(report, now);
+    for (const BackoffReport &report : sample.backoffs)
+        addBackoff(report, now);
     for (const ServerWork &work : sample.work) {
         Speed &speed = m_speeds[work.server];
         const auto count = static_cast<double>(work.count);
@@ -70,6 +74,57 @@
     return now >= endedAt && now - endedAt <= recoveryPeriod;
 }
 
+/** \returns what is left of \a count after \a age with the half-life of spikes. */
+double ServiceLoad::refusedRate(const Pause &pause, Instant now)
+{
+    const std::chrono::duration<double> halfLife = spikeHalfLife;
+    const std::chrono::duration<double> age = now - pause.countedAt;
+    return pause.refusals * std::exp2(-age / halfLife) * std::numbers::ln2 / halfLife.count();
+}
+
+void ServiceLoad::addBackoff(const BackoffReport &report, Instant now)
+{
+    Pause &pause = m_pauses[report.server];
+    const std::chrono::duration<double> halfLife = spikeHalfLife;
+    pause.refusals = refusedRate(pause, now) * halfLife.count() / std::numbers::ln2
+        + static_cast<double>(report.refusedCount);
+    pause.countedAt = now;
+    pause.end = std::max(pause.end, now + report.left);
+}
+
+bool ServiceLoad::hasPauses() const
+{
+    return !m_pauses.empty();
+}
+
+std::set<ServerName> ServiceLoad::pausedServers(const std::map<ServerName, double> &demand,
+                                                Instant now)
+{
+    std::set<ServerName> paused;
+    for (auto &[server, pause] : m_pauses) {
+        const auto rate = demand.find(server);
+        if (isKeptOut(pause, rate == demand.end() ? 0.0 : rate->second, now))
+            paused.insert(server);
+    }
+    return paused;
+}
+
+/** \returns whether a server with \a pause is to have no keys, and starts such a time if it is due.
+ */
+bool ServiceLoad::isKeptOut(Pause &pause, double demand, Instant now)
+{
+    if (now < pause.keptOutUntil)
+        return true;
+    const double refused = refusedRate(pause, now);
+    if (pause.end - now < minPause || refused < minPausedRate || refused < pausedFraction * demand)
+        return false;
+    const bool isRelapse = now - pause.keptOutUntil < relapsePeriod;
+    const Duration earlier = isRelapse ? pause.keptOutUntil - pause.keptOutSince : Duration::zero();
+    pause.keptOutSince = now;
+    pause.keptOutUntil = std::max(pause.end, now + std::min(maxPause, 2 * earlier));
+    return true;
+}
+
 KeyTraffic ServiceLoad::traffic(Instant now)
 {
     std::vector<double> rates = m_steady.rates(now);
--- a/src/libbulrush/version/serviceload.h
+++ b/src/libbulrush/version/serviceload.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace bulrush {
@@ -32,6 +33,17 @@
     bool operator==(const LimitReport &) const = default;
 };
 
+/** Requests that a daemon refused since its last report because their server asked for a pause. */
+struct BackoffReport
+{
+    ServerName server;
+    std::uint32_t refusedCount = 0;
+    /** Until the end of the pause. */
+    Duration left{};
+
+    bool operator==(const BackoffReport &) const = default;
+};
+
 /** Measurements of a service that is divided by key, by a daemon since its last report. */
 struct LoadSample
 {
@@ -44,6 +56,7 @@
     std::vector<LimitReport> limits = {};
     /** Servers that announced in an answer that they leave. */
     std::vector<ServerName> leaving = {};
+    std::vector<BackoffReport> backoffs = {};
 
     bool operator==(const LoadSample &) const = default;
 };
@@ -71,6 +84,22 @@
      */
     static constexpr Duration limitValidity = std::chrono::seconds{10};
 
+    /**
+     * A server that asked for pauses loses its keys if at least this fraction of their requests are
+     * refused for that: those that are served elsewhere then outweigh the moves.
+     */
+    static constexpr double pausedFraction = 0.4;
+    /** Requests refused per second from which on that fraction is significant. */
+    static constexpr double minPausedRate = 1.0;
+    /** Keys do not move for a pause that ends sooner, as a move takes about as long. */
+    static constexpr Duration minPause = std::chrono::milliseconds{700};
+    /**
+     * If a server asks for a pause again within this time after it got keys back, it is without
+     * keys for twice as long as before.
+     */
+    static constexpr Duration relapsePeriod = std::chrono::seconds{5};
+    static constexpr Duration maxPause = std::chrono::seconds{30};
+
     /** For this long after its limit has ended, a server counts as recovered. */
     static constexpr Duration recoveryPeriod = std::chrono::seconds{10};
 
@@ -93,6 +122,15 @@
     /** \returns whether \a server named a limit that has ended, or expired, recently. */
     bool isRecovered(const ServerName &server, Instant now) const;
 
+    /** \returns whether a server asked for a pause that some daemon has reported. */
+    bool hasPauses() const;
+
+    /**
+     * \returns the servers that are to have no keys because they asked for pauses. \a demand is the
+     * number of requests per second for the keys of each server.
+     */
+    std::set<ServerName> pausedServers(const std::map<ServerName, double> &demand, Instant now);
+
 private:
     struct Speed
     {
@@ -107,13 +145,30 @@
         Instant statedAt;
     };
 
+    /** The pauses that a server asked for. */
+    struct Pause
+    {
+        /** Refused requests, with a half-life of spikeHalfLife. */
+        double refusals = 0.0;
+        Instant countedAt;
+        /** The latest end of the pauses that daemons have reported. */
+        Instant end;
+        /** The server is without keys from then until keptOutUntil. */
+        Instant keptOutSince;
+        Instant keptOutUntil;
+    };
+
     double meanTime() const;
+    void addBackoff(const BackoffReport &report, Instant now);
+    static double refusedRate(const Pause &pause, Instant now);
+    static bool isKeptOut(Pause &pause, double demand, Instant now);
     void addLimit(const LimitReport &report, Instant now);
 
     KeyLoads m_steady;
     KeyLoads m_spikes;
     std::map<ServerName, Speed> m_speeds;
     std::map<ServerName, Limit> m_limits;
+    std::map<ServerName, Pause> m_pauses;
 };
 
 } // namespace bulrush
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -91,6 +91,8 @@
     std::function<void()> leavingHandler;
     /** Servers that were found to be replaced, since the last report to the planner. */
     std::map<ServiceName, std::set<ServerName>> stoppedServers;
+    /** Requests that were refused because the owner asked for a pause, since the last report. */
+    std::map<ServerName, std::uint32_t> refusedForBackoff;
     /** Requested keys of services that are divided by key, since the last report to the planner. */
     std::map<ServiceName, std::vector<KeyPosition>> requestedKeys;
     /** Requests that have no answer yet, by ticket. */
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -490,8 +490,7 @@
         const KnownServer *server = m_context.state->server(m_service, m_server);
         const Duration pause = m_context.notices.backoffLeft(m_server, now);
         if (server && pause > maxUsefulWait(server->record, now)) {
-            m_availableIn = pause;
-            refuseNotRun(refusal::backingOff);
+            refuseForBackoff(m_server, pause);
             return;
         }
         delay = std::max(delay, pause);
@@ -577,11 +576,7 @@
 {
     if (m_relayed || m_mayHaveRun || m_relay)
         return false;
-    ServerDemand demand;
-    demand.service = m_service;
-    if (m_isDividedByKey)
-        demand.key = m_terms.key;
-    const ServerRecord *owner = m_context.picker.owner(*m_context.state, demand, io::hostNow());
+    const ServerRecord *owner = this->owner();
     RelayRequest request;
     request.method = m_request->head().method;
     request.target = m_request->head().target;
@@ -715,10 +710,23 @@
 {
     if (m_isFinished || (reason == GiveUpReason::Unreachable && relay()))
         return;
+    const ServerRecord *server = reason == GiveUpReason::BackingOff ? owner() : nullptr;
+    if (server) {
+        refuseForBackoff(server->id, availableIn);
+        return;
+    }
     m_availableIn = availableIn;
     refuse(nameOf(reason));
 }
 
+/** Refuses the request because \a server, which has its key, asked for a pause. */
+void ForwardExchange::refuseForBackoff(const ServerName &server, Duration left)
+{
+    ++m_context.refusedForBackoff[server];
+    m_availableIn = left;
+    refuse(refusal::backingOff);
+}
+
 void ForwardExchange::refuse(std::string_view reason)
 {
     if (m_isFinished)
@@ -876,6 +884,16 @@
     return assignment == m_context.state->assignments.end() ? nullptr : assignment->second.get();
 }
 
+/** \returns the server that may get requests for the request's key now, or null. */
+const ServerRecord *ForwardExchange::owner() const
+{
+    ServerDemand demand;
+    demand.service = m_service;
+    if (m_isDividedByKey)
+        demand.key = m_terms.key;
+    return m_context.picker.owner(*m_context.state, demand, io::hostNow());
+}
+
 /** \returns a hash of the request's ID: evenly distributed, and the same for each attempt. */
 std::uint64_t ForwardExchange::hash() const
 {
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -107,6 +107,8 @@
     void finish();
     void log(std::string_view outcome, int status, std::string_view reason) const;
     const KeyAssignment *currentAssignment() const;
+    const ServerRecord *owner() const;
+    void refuseForBackoff(const ServerName &server, Duration left);
     std::uint64_t hash() const;
     std::string_view caller() const;
     Duration elapsed() const;
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -228,6 +228,14 @@
             sample.limits.push_back(std::move(report));
         }
     }
+    for (const auto &[server, count] : std::exchange(m_context.refusedForBackoff, {})) {
+        if (const std::optional<ServiceName> service = keyedServiceOf(server)) {
+            LoadSample &sample = samples[*service];
+            sample.service = *service;
+            sample.backoffs.push_back(
+                {server, count, m_context.notices.backoffLeft(server, io::hostNow())});
+        }
+    }
     for (const auto &[server, notice] : m_context.notices.notices()) {
         const std::optional<ServiceName> service = keyedServiceOf(server);
         if (service && notice.leavingSince) {
--- a/src/libbulrushio/version/loadsamplecodec.cpp
+++ b/src/libbulrushio/version/loadsamplecodec.cpp
@@ -36,6 +36,15 @@
     return json;
 }
 
+Json::Value jsonOf(const BackoffReport &report)
+{
+    Json::Value json;
+    json["server"] = report.server.value();
+    json["refused"] = report.refusedCount;
+    json["left"] = io::jsonOf(report.left);
+    return json;
+}
+
 Json::Value jsonOf(const LoadSample &sample)
 {
     Json::Value keys{Json::arrayValue};
@@ -51,6 +60,8 @@
     json["ended"] = io::jsonOf(sample.ended);
     for (const LimitReport &report : sample.limits)
         json["limits"].append(jsonOf(report));
+    for (const BackoffReport &report : sample.backoffs)
+        json["backoffs"].append(jsonOf(report));
     if (!sample.leaving.empty())
         json["leaving"] = io::jsonOf(sample.leaving);
     return json;
@@ -83,6 +94,42 @@
     return report.perSecond ? std::optional{report} : std::nullopt;
 }
 
+std::optional<BackoffReport> decodeBackoff(const Json::Value &json)
+{
+    JsonReader reader{json};
+    BackoffReport report;
+    report.server = ServerName{reader.text("server")};
+    const std::uint64_t refused = reader.number("refused");
+    report.left = reader.span("left");
+    if (!reader.isValid() || refused > std::numeric_limits<std::uint32_t>::max()
+        || report.left < Duration::zero())
+        return std::nullopt;
+    report.refusedCount = static_cast<std::uint32_t>(refused);
+    return report;
+}
+
+/**
+ * \returns the list \a name of \a json, decoded by \a decode; empty if it is missing, as daemons of
+ * older versions send none, and nothing if it is invalid.
+ */
+template<typename Entry>
+std::optional<std::vector<Entry>>
+decodeOptionalList(const Json::Value &json, const char *name,
+                   std::optional<Entry> (*decode)(const Json::Value &))
+{
+    std::vector<Entry> entries;
+    if (!json.isMember(name))
+        return entries;
+    JsonReader reader{json};
+    for (const Json::Value &value : reader.list(name)) {
+        std::optional<Entry> entry = decode(value);
+        if (!entry)
+            return std::nullopt;
+        entries.push_back(std::move(*entry));
+    }
+    return reader.isValid() ? std::optional{std::move(entries)} : std::nullopt;
+}
+
 std::optional<LoadSample> decodeSample(const Json::Value &json)
 {
     JsonReader reader{json};
@@ -100,14 +147,12 @@
         sample.work.push_back(std::move(*work));
     }
     sample.ended = readServerNames(reader, "ended");
-    // Daemons of older versions, and those that know no limits, send none.
-    const Json::Value noLimits{Json::arrayValue};
-    for (const Json::Value &entry : json.isMember("limits") ? reader.list("limits") : noLimits) {
-        std::optional<LimitReport> report = decodeLimit(entry);
-        if (!report)
-            return std::nullopt;
-        sample.limits.push_back(std::move(*report));
-    }
+    auto limits = decodeOptionalList<LimitReport>(json, "limits", decodeLimit);
+    auto backoffs = decodeOptionalList<BackoffReport>(json, "backoffs", decodeBackoff);
+    if (!limits || !backoffs)
+        return std::nullopt;
+    sample.limits = std::move(*limits);
+    sample.backoffs = std::move(*backoffs);
     // Daemons of older versions send no such list.
     if (json.isMember("leaving"))
         sample.leaving = readServerNames(reader, "leaving");
--- a/tests/entryfleet/test_entrybackoffs.cpp
+++ b/tests/entryfleet/test_entrybackoffs.cpp
@@ -18,6 +18,8 @@
     BOOST_TEST_MESSAGE("during the pause: served " << during.served << " of " << during.sent);
     BOOST_TEST(refusedDaemonCount(owner) == 6);
     BOOST_TEST(mostDuringPause(owner, 3s) <= allowedDuringPause);
+    // Most of its callers are served by other servers once its keys have moved.
+    BOOST_TEST(during.served * 10 >= during.sent * 9);
     askForBackoff(owner, "");
     std::this_thread::sleep_for(3s);
     const FirstAttempts after = sumOf(sendFor(3s));
--- a/tests/keydecisions/test_keycodecs.cpp
+++ b/tests/keydecisions/test_keycodecs.cpp
@@ -96,7 +96,8 @@
                    {{ServerName{"i-1"}, 250ms, 3}},
                    {ServerName{"i-2"}},
                    {{ServerName{"i-1"}, 5.25, 70ms}, {ServerName{"i-3"}, std::nullopt, 10ms}},
-                   {ServerName{"i-4"}}}};
+                   {ServerName{"i-4"}},
+                   {{ServerName{"i-5"}, 7, 2900ms}}}};
     const auto back = io::decodeLoadSamples(io::encodeLoadSamples(samples));
     BOOST_REQUIRE(back.has_value());
     BOOST_TEST((back->front() == samples.front()));
@@ -104,6 +105,9 @@
     BOOST_TEST(!io::decodeLoadSamples(io::encodeLoadSamples(samples)).has_value());
     samples.front().limits.clear();
     BOOST_TEST(io::decodeLoadSamples(io::encodeLoadSamples(samples)).has_value());
+    samples.front().backoffs.front().left = -1ms;
+    BOOST_TEST(!io::decodeLoadSamples(io::encodeLoadSamples(samples)).has_value());
+    samples.front().backoffs.clear();
     samples.front().keys.push_back(keyPositionCount);
     BOOST_TEST(!io::decodeLoadSamples(io::encodeLoadSamples(samples)).has_value());
 }
--- /dev/null
+++ b/tests/keydecisions/test_serviceload.cpp
@@ -0,0 +1,75 @@
+#define BOOST_TEST_MODULE ServiceLoad
+
+#include "version/serviceload.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <map>
+#include <set>
+
+using namespace bulrush;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start{100s};
+const ServerName server{"i-1"};
+const std::map<ServerName, double> demand{{server, 20.0}};
+
+/** The load of a service whose daemons report refused requests of one server. */
+struct Fixture
+{
+    /** Reports \a perSecond refused requests, twice a second from \a from to \a to. */
+    void refuse(Instant from, Instant to, std::uint32_t perSecond, Duration left)
+    {
+        for (Instant now = from; now < to; now += 500ms)
+            load.add({ServiceName{"s"}, {}, {}, {}, {}, {}, {{server, perSecond / 2, left}}}, now);
+    }
+
+    bool isPaused(Instant now)
+    {
+        return load.pausedServers(demand, now).contains(server);
+    }
+
+    ServiceLoad load{start};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(serverThatRefusesMostCallersHasNoKeysUntilThePauseEnds, Fixture)
+{
+    BOOST_TEST(!load.hasPauses());
+    BOOST_TEST(!isPaused(start));
+    refuse(start, start + 2s, 20, 3s);
+    BOOST_TEST(load.hasPauses());
+    BOOST_TEST(isPaused(start + 2s));
+    // Nobody is refused any more, as the keys have moved.
+    BOOST_TEST(isPaused(start + 4499ms));
+    BOOST_TEST(!isPaused(start + 4501ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(serverThatRefusesFewCallersKeepsItsKeys, Fixture)
+{
+    refuse(start, start + 4s, 6, 3s);
+    BOOST_TEST(!isPaused(start + 4s));
+}
+
+BOOST_FIXTURE_TEST_CASE(keysDoNotMoveForAShortPause, Fixture)
+{
+    refuse(start, start + 4s, 20, 600ms);
+    BOOST_TEST(!isPaused(start + 3500ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(serverThatAsksAgainAtOnceIsWithoutKeysForLonger, Fixture)
+{
+    refuse(start, start + 2s, 20, 3s);
+    BOOST_TEST(isPaused(start + 2s)); // for 2.5 s
+    refuse(start + 5s, start + 7s, 20, 2s);
+    BOOST_TEST(isPaused(start + 7s));
+    BOOST_TEST(isPaused(start + 11900ms));
+    BOOST_TEST(!isPaused(start + 12100ms));
+    refuse(start + 30s, start + 32s, 20, 2s);
+    BOOST_TEST(isPaused(start + 32s));
+    BOOST_TEST(!isPaused(start + 33600ms));
+}
