Show pauses and announcements of servers to operators; read announcements in grants

/notices lists what servers asked of a host, POST /notices/end-backoff/ID ends a pause that a server asked for by mistake. An announcement in the answer to a grant counts, as servers put it in all answers.

--- a/src/libbulrush/process/servernotices.cpp
+++ b/src/libbulrush/process/servernotices.cpp
@@ -22,6 +22,15 @@
     return true;
 }
 
+bool ServerNotices::endBackoff(const ServerName &server, Instant now)
+{
+    const auto notice = m_notices.find(server);
+    if (notice == m_notices.end() || !notice->second.isBackingOff(now))
+        return false;
+    notice->second.backoffUntil = now;
+    return true;
+}
+
 const ServerNotice *ServerNotices::find(const ServerName &server) const
 {
     const auto notice = m_notices.find(server);
--- a/src/libbulrush/process/servernotices.h
+++ b/src/libbulrush/process/servernotices.h
@@ -50,6 +50,9 @@
      */
     bool recordLeaving(const ServerName &server, Instant now);
 
+    /** Ends the pause that \a server asked for. \returns whether there was one at \a now. */
+    bool endBackoff(const ServerName &server, Instant now);
+
     /** \returns what is known of \a server, or null. Valid until the next change. */
     const ServerNotice *find(const ServerName &server) const;
 
--- a/src/libbulrushentry/entrypages.cpp
+++ b/src/libbulrushentry/entrypages.cpp
@@ -25,6 +25,10 @@
 constexpr std::string_view evacuationsPath = "/evacuations";
 /** The page of the limits that servers name. */
 constexpr std::string_view limitsPath = "/limits";
+/** The page of pauses that servers asked for, and of servers that announced that they leave. */
+constexpr std::string_view noticesPath = "/notices";
+/** Followed by the server whose pause is to end. */
+constexpr std::string_view endBackoffPath = "/notices/end-backoff/";
 /** The page of servers that are out of reach, and of relayed requests. */
 constexpr std::string_view pathsPath = "/paths";
 /** The page of requests during which servers crashed, for operators. */
@@ -67,7 +71,11 @@
     else if (target == limitsPath)
         answerLimits(writer);
     else if (target == pathsPath)
-        answerPaths(writer);
+        m_sources.worker.collectPaths(textHandler(writer));
+    else if (target == noticesPath)
+        m_sources.worker.collectNotices(textHandler(writer));
+    else if (target.starts_with(endBackoffPath))
+        endBackoff(request, writer);
     else if (target == quarantinePath)
         writer->send(io::plainTextResponse(ok, m_sources.crashes.page()));
     else if (target.starts_with(liftPath))
@@ -75,7 +83,8 @@
     else
         writer->send(io::plainTextResponse(
             notFound,
-            "pages: /readyz, /metrics, /status, /evacuations, /limits, /paths, /quarantine\n"));
+            "pages: /readyz, /metrics, /status, /evacuations, /limits, /notices, /paths, "
+            "/quarantine\n"));
 }
 
 /** Answers with the evacuations and the use of the servers, for `bulrushctl evacuation`. */
@@ -102,12 +111,33 @@
     });
 }
 
-void EntryPages::answerPaths(const std::shared_ptr<io::ResponseWriter> &writer)
+/** \returns a handler that sends its text as the answer, from any thread. */
+ForwardWorker::TextHandler
+EntryPages::textHandler(const std::shared_ptr<io::ResponseWriter> &writer) const
 {
-    m_sources.worker.collectPaths([this, writer](std::string text) {
+    return [this, writer](std::string text) {
         asio::post(m_sources.loop, [writer, text = std::move(text)]() mutable {
             writer->send(io::plainTextResponse(ok, std::move(text)));
         });
+    };
+}
+
+void EntryPages::endBackoff(const io::IncomingRequest &request,
+                            const std::shared_ptr<io::ResponseWriter> &writer)
+{
+    const std::string_view target = request.head().target;
+    const ServerName server{std::string{target.substr(endBackoffPath.size())}};
+    if (request.head().method != "POST" || server.isEmpty()) {
+        writer->send(io::plainTextResponse(
+            badRequest, "use: POST /notices/end-backoff/ and the id of a server\n"));
+        return;
+    }
+    m_sources.worker.endBackoff(server, [this, writer](bool wasPaused) {
+        asio::post(m_sources.loop, [writer, wasPaused] {
+            writer->send(wasPaused ? io::plainTextResponse(ok, "ended\n")
+                                   : io::plainTextResponse(
+                                       notFound, "that server has not asked for a pause\n"));
+        });
     });
 }
 
--- a/src/libbulrushentry/entrypages.h
+++ b/src/libbulrushentry/entrypages.h
@@ -59,7 +59,9 @@
 private:
     void answerEvacuations(const std::shared_ptr<io::ResponseWriter> &writer);
     void answerLimits(const std::shared_ptr<io::ResponseWriter> &writer);
-    void answerPaths(const std::shared_ptr<io::ResponseWriter> &writer);
+    ForwardWorker::TextHandler textHandler(const std::shared_ptr<io::ResponseWriter> &writer) const;
+    void endBackoff(const io::IncomingRequest &request,
+                    const std::shared_ptr<io::ResponseWriter> &writer);
     std::string limitsText(const std::map<ServerName, KnownLimit> &limits) const;
     io::HttpResponse lift(const io::IncomingRequest &request);
     std::string metricsText() const;
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -230,7 +230,8 @@
 LimitChange ForwardContext::recordStatement(const Answer &answer, const ServerStatement &statement)
 {
     recordBackoff(answer, statement.backoff);
-    if (statement.isLeaving)
+    // Another server at the address says nothing about the one that was meant.
+    if (statement.isLeaving && !statement.isReplaced)
         recordLeaving(answer.server, answer.request);
     return recordLimit(answer, statement);
 }
@@ -342,6 +343,33 @@
     return text;
 }
 
+std::string ForwardContext::noticesText(Instant now) const
+{
+    std::string text;
+    for (const auto &[server, notice] : notices.notices()) {
+        if (notice.backoffCount > 0)
+            text += "backoff: " + server.value()
+                + " left-ms=" + io::millisecondsText(notices.backoffLeft(server, now))
+                + " asked-ms=" + io::millisecondsText(notice.backoffAsked)
+                + " asked-ms-ago=" + io::millisecondsText(now - notice.backoffAskedAt)
+                + " count=" + std::to_string(notice.backoffCount) + '\n';
+        if (notice.leavingSince)
+            text += "leaving: " + server.value()
+                + " since-ms=" + io::millisecondsText(now - *notice.leavingSince) + '\n';
+    }
+    return text;
+}
+
+bool ForwardContext::endBackoff(const ServerName &server)
+{
+    if (!notices.endBackoff(server, io::hostNow()))
+        return false;
+    io::logEvent(LogLevel::Warning, "server-backoff-ended",
+                 {{"server", server.value()}, {"source", "operator"}});
+    scheduleDispatch();
+    return true;
+}
+
 void ForwardContext::probeServers(Instant now)
 {
     relays.removeExpired(now);
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -145,6 +145,12 @@
     /** \returns which servers are out of reach, and the use of relays, for the operators' page. */
     std::string pathsText(Instant now) const;
 
+    /** \returns the pauses and announcements of servers, for the operators' page. */
+    std::string noticesText(Instant now) const;
+
+    /** Ends the pause that \a server asked for. \returns whether there was one. */
+    bool endBackoff(const ServerName &server);
+
     /** Tries to connect to servers that could not be reached. To be called often. */
     void probeServers(Instant now);
 
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -173,6 +173,21 @@
     });
 }
 
+void ForwardWorker::collectNotices(TextHandler handler)
+{
+    asio::post(m_loop, [this, handler = std::move(handler)] {
+        handler(m_context.noticesText(io::hostNow()));
+    });
+}
+
+void ForwardWorker::endBackoff(const ServerName &server,
+                               std::function<void(bool wasPaused)> handler)
+{
+    asio::post(m_loop, [this, server, handler = std::move(handler)] {
+        handler(m_context.endBackoff(server));
+    });
+}
+
 void ForwardWorker::stop()
 {
     if (!m_thread.joinable())
--- a/src/libbulrushentry/forwardworker.h
+++ b/src/libbulrushentry/forwardworker.h
@@ -104,6 +104,15 @@
     /** Passes the text of the page of paths to \a handler, on the traffic thread. Thread safe. */
     void collectPaths(TextHandler handler);
 
+    /** Passes the text of the page of notices to \a handler, on the traffic thread. Thread safe. */
+    void collectNotices(TextHandler handler);
+
+    /**
+     * Ends the pause that \a server asked for, and passes to \a handler, on the traffic thread,
+     * whether there was one. Thread safe.
+     */
+    void endBackoff(const ServerName &server, std::function<void(bool wasPaused)> handler);
+
     /** \returns how many requests have no answer yet. Thread safe. */
     std::size_t openCount() const;
 
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -3,6 +3,7 @@
 #include "connection/transporterror.h"
 #include "peerpaths.h"
 #include "platform/keyorders.h"
+#include "platform/requestfields.h"
 #include "platform/tables.h"
 #include "process/hostclock.h"
 #include "process/logging.h"
@@ -385,6 +386,8 @@
     // The server's record expires later; its keys can be reassigned before that.
     if (isReplaced)
         m_deps.state.recordServerStopped(grant.owned.owner);
+    else if (!result.error && platform::isLeaving(result.response.headers))
+        m_deps.state.recordServerLeaving(grant.owned.owner);
 }
 
 void KeyControl::handleConnectionEvent(const std::string &run,
--- a/tests/entryfleet/test_entrybackoffs.cpp
+++ b/tests/entryfleet/test_entrybackoffs.cpp
@@ -51,5 +51,10 @@
     }
     BOOST_TEST((Clock::now() - before < requestCount * 50ms));
     BOOST_TEST(mostDuringPause("p1", 10s) <= allowedDuringPause);
+    BOOST_TEST(page("a1", "/notices").find("backoff: p1 left-ms=") != std::string::npos);
+    BOOST_TEST(postToPage("a1", "/notices/end-backoff/p1") == 200);
+    BOOST_TEST(postToPage("a1", "/notices/end-backoff/p1") == 404);
+    BOOST_TEST(postToPage("a1", "/notices/end-backoff/") == 400);
+    BOOST_TEST(page("a1", "/notices").find("backoff: p1 left-ms=0 ") != std::string::npos);
     BOOST_TEST(mostDuringPause("p2", 10s) <= allowedDuringPause);
 }
--- a/tests/requestqueue/test_servernotices.cpp
+++ b/tests/requestqueue/test_servernotices.cpp
@@ -40,6 +40,16 @@
     BOOST_TEST(notices.isBackingOff(other, start + std::chrono::hours{24}));
 }
 
+BOOST_AUTO_TEST_CASE(operatorsCanEndAPause)
+{
+    ServerNotices notices;
+    BOOST_TEST(!notices.endBackoff(server, start));
+    notices.recordBackoff(server, 3s, start);
+    BOOST_TEST(notices.endBackoff(server, start + 1s));
+    BOOST_TEST(!notices.isBackingOff(server, start + 1s));
+    BOOST_TEST(!notices.endBackoff(server, start + 1s));
+}
+
 BOOST_AUTO_TEST_CASE(leavingIsKnownFromTheFirstAnnouncement)
 {
     ServerNotices notices;
--- a/tests/standins/keyed/keyedserver.cpp
+++ b/tests/standins/keyed/keyedserver.cpp
@@ -131,7 +131,10 @@
         return;
     }
     const bool isGranted = m_leases.grant(range, fence, hold, arrivedAt, arrivedAt);
-    Listener::send(request, {isGranted ? 200 : 409, {}, {}});
+    std::vector<HeaderField> headers;
+    if (m_isLeaving)
+        headers.push_back({"Server-Leaving", "1"});
+    Listener::send(request, {isGranted ? 200 : 409, std::move(headers), {}});
 }
 
 void KeyedServer::release(const RequestHandle &request)
