--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -5,7 +5,6 @@
 #include "connection/transporterror.h"
 #include "process/hostclock.h"
 #include "process/logging.h"
-#include "process/permitissuer.h"
 #include "refusal.h"
 
 #include <asio/post.hpp>
@@ -38,14 +37,12 @@
 constexpr Duration answerTransitTime = std::chrono::milliseconds{4};
 /** Maximum length of a request's path and query in a log line. */
 constexpr std::size_t maxLoggedPathLength = 80;
-/** A permit may be used for this long; the request may have to wait for a connection. */
-constexpr Duration permitValidity = std::chrono::milliseconds{300};
-/** Queries of this daemon for permits are this far apart, at most, while they are refused. */
-constexpr Duration maxPermitPause = std::chrono::seconds{10};
-/** Divides that pause if no server of the service takes requests without a permit. */
+/** Divides the pause after a refused permit if no server of the service takes requests without a
+ * permit. */
 constexpr int allLimitedPauseDivisor = 4;
 /** Requests of other daemons that are handled at a time, as they must not displace own callers. */
 constexpr std::size_t maxOpenRelays = 200;
+
 /** \returns whether a call that failed with \a error received nothing from its server. */
 bool isUnanswered(std::error_code error)
 {
@@ -53,14 +50,6 @@
         || error == io::TransportError::ConnectionLost || error == io::TransportError::TimedOut;
 }
 
-/** \returns the mean time between two permits of this daemon if all daemons have equal parts. */
-Duration permitPause(const KnownLimit &limit, std::size_t daemonCount)
-{
-    const double rate = std::max(PermitIssuer::minRate, limit.perSecond);
-    const std::chrono::duration<double> pause{static_cast<double>(daemonCount) / rate};
-    return std::min(maxPermitPause, std::chrono::duration_cast<Duration>(pause));
-}
-
 } // namespace
 
 ForwardExchange::ForwardExchange(ForwardContext &context,
@@ -245,8 +234,7 @@
     waiting.onTimeUntil = m_startedAt + m_route->targetLatency;
     waiting.answerBy = m_answerBy;
     waiting.notBefore = notBefore;
-    if (m_permit)
-        waiting.permitted = m_permit->server;
+    waiting.permitted = m_permit.server();
     m_context.queue.add(std::move(waiting));
     m_context.scheduleDispatch();
 }
@@ -276,8 +264,11 @@
     if (m_attempts > 1)
         m_context.counters.add(EntryCounter::AttemptsRepeated);
     m_context.gauges.attemptStarted(server.id, m_sentAt);
-    if (const KnownServer *known = m_context.state->server(m_service, m_server))
+    const KnownServer *known = m_context.state->server(m_service, m_server);
+    if (known)
         m_context.slowStart.recordSend(*known, m_sentAt);
+    m_trace.begin(m_context.picker, known, m_sentAt);
+    m_context.counters.recordRoutingDataAge(m_trace.routingDataAge());
 
     io::ServerCall call;
     call.server = server.address;
@@ -289,9 +280,9 @@
     removeRelayFields(call.headers);
     call.body = m_body;
     call.timeout = timeLeft() + std::chrono::seconds{1};
-    call.sendDeadline = std::min(m_answerBy - RequestQueue::minServiceTime, recordChoice());
-    if (m_permit && m_permit->server == server.id)
-        call.sendDeadline = std::min(call.sendDeadline, m_permit->validUntil);
+    call.sendDeadline = std::min(m_answerBy - RequestQueue::minServiceTime, maxSendAge());
+    if (const auto validUntil = m_permit.validUntil(server.id))
+        call.sendDeadline = std::min(call.sendDeadline, *validUntil);
     m_permit.reset();
     call.isStillWanted = [&picker = m_context.picker, server = m_server] {
         return picker.isStillWanted(server, io::hostNow());
@@ -306,10 +297,7 @@
 /** \returns whether \a server names no limit, or the request may be sent to it all the same. */
 bool ForwardExchange::hasPermit(const ServerName &server, Instant now) const
 {
-    if (!m_context.limits.find(server))
-        return true;
-    return m_permit && m_permit->server == server && now >= m_permit->validFrom
-        && now < m_permit->validUntil;
+    return !m_context.limits.find(server) || m_permit.allows(server, now);
 }
 
 /** \returns the longest time that the request should wait for \a server to take it. */
@@ -359,8 +347,8 @@
         return;
     const Instant now = io::hostNow();
     if (answer.outcome == PermitOutcome::Granted) {
-        m_permit = Permit{m_server, now + answer.wait, now + answer.wait + permitValidity};
-        enqueue(m_permit->validFrom);
+        m_permit.grant(m_server, now + answer.wait);
+        enqueue(now + answer.wait);
         return;
     }
     if (answer.outcome == PermitOutcome::LimitEnded) {
@@ -387,48 +375,18 @@
     enqueue(now);
 }
 
-/**
- * Records the age of the routing data by which the server was chosen. \returns the instant until
- * which the request may be sent to it.
- */
-Instant ForwardExchange::recordChoice()
+/** \returns the instant until which the request may be sent to the chosen server. */
+Instant ForwardExchange::maxSendAge() const
 {
-    m_routingDataAge = m_context.picker.serverDataAge(m_sentAt);
-    m_context.counters.recordRoutingDataAge(m_routingDataAge);
-    m_isChoiceLogged = m_routingDataAge >= m_context.picker.drainBudget().confirmAfter();
-    m_drainsAfter.reset();
     const KnownServer *server = m_context.state->server(m_service, m_server);
-    if (!server)
-        return Instant::max();
-    m_drainsAfter = server->drainsAfter;
-    m_isChoiceLogged = m_isChoiceLogged || m_drainsAfter;
-    return m_context.picker.maxSendAge(*server);
-}
-
-/** Logs the times of the attempt's steps if its server may have left. */
-void ForwardExchange::logAttemptTimes(const io::CallTimes &times)
-{
-    if (!std::exchange(m_isChoiceLogged, false))
-        return;
-    const auto sinceChoice = [this](const std::optional<Instant> &step) {
-        return step ? io::millisecondsText(*step - m_sentAt) : "never";
-    };
-    const std::string drains =
-        m_drainsAfter ? io::millisecondsText(m_sentAt - *m_drainsAfter) : "unknown";
-    io::logEvent(LogLevel::Info, "sent-to-leaving",
-                 {{"request", m_terms.id},
-                  {"server", m_server.value()},
-                  {"drains-ms-at-most", drains},
-                  {"knowledge-ms", io::millisecondsText(m_routingDataAge)},
-                  {"connected-ms", sinceChoice(times.connectedAt)},
-                  {"written-ms", sinceChoice(times.writtenAt)}});
+    return server ? m_context.picker.maxSendAge(*server) : Instant::max();
 }
 
 void ForwardExchange::handleAttemptResult(const io::HttpResult &result)
 {
     m_call.reset();
     endProbe();
-    logAttemptTimes(result.times);
+    m_trace.log(m_terms.id, m_server, result.times);
     if (m_isFinished)
         return;
     m_context.scheduleDispatch();
@@ -819,7 +777,7 @@
         m_context.timers.cancel(*m_timeout);
     if (m_call) {
         const Instant now = io::hostNow();
-        logAttemptTimes(m_context.servers.times(*m_call));
+        m_trace.log(m_terms.id, m_server, m_context.servers.times(*m_call));
         if (m_context.servers.isSent(*m_call))
             recordLostAttempt(CrashWatch::Loss::Abandoned);
         m_context.servers.cancel(*m_call);
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "attempttrace.h"
 #include "connection/incomingrequest.h"
 #include "connection/responsewriter.h"
 #include "connection/servercall.h"
@@ -9,6 +10,7 @@
 #include "process/permit.h"
 #include "request/requestfingerprint.h"
 #include "request/requestqueue.h"
+#include "requestpermit.h"
 #include "version/routingconfig.h"
 
 #include <memory>
@@ -55,14 +57,6 @@
     void handleQuarantineChange();
 
 private:
-    /** Permission to send this request to a server that names a limit. */
-    struct Permit
-    {
-        ServerName server;
-        Instant validFrom;
-        Instant validUntil;
-    };
-
     bool resolveRoute();
     bool admitKey();
     void readBody();
@@ -79,8 +73,7 @@
     void queryPermit(const ServerRecord &server);
     void handlePermit(const PermitAnswer &answer, Instant namedAt, Duration maxWait);
     void reportLimitEnd();
-    Instant recordChoice();
-    void logAttemptTimes(const io::CallTimes &times);
+    Instant maxSendAge() const;
     void handleAttemptResult(const io::HttpResult &result);
     void handleAnswer(const io::HttpResult &result);
     void handleRefusal(const ServerStatement &statement, int status);
@@ -135,18 +128,13 @@
     int m_attempts = 0;
     ServerName m_server;
     Instant m_sentAt;
-    /** The last instant at which the chosen server was known not to drain, if it drains. */
-    std::optional<Instant> m_drainsAfter;
-    /** Age of the data on servers when the server was chosen. */
-    Duration m_routingDataAge{};
-    /** The server may have left, by that data, so the times of the attempt are logged. */
-    bool m_isChoiceLogged = false;
+    AttemptTrace m_trace;
     std::optional<io::ServerClient::CallId> m_call;
     /** Set while other daemons are asked to relay the request, and after one has answered. */
     std::shared_ptr<PeerRelay> m_relay;
     /** Set if another daemon relays the request, so that this one must not relay it on. */
     std::optional<RelayTerms> m_relayed;
-    std::optional<Permit> m_permit;
+    RequestPermit m_permit;
     /** Time after which a server will take requests again; zero if that is unknown. */
     Duration m_availableIn{};
     /** Runs that were known, when the request was sent, to have crashed during it. */
