Forget pauses that have ended; report a leaving owner early only where it helps

Reading found: the planner summed the rates of all keys at each plan once a server had ever asked for a pause; each daemon reported each announcement at once, also where the store had already told that the server drains; Retry-After of 0 reduced the server's window. test_serviceload has the first (red before), the others are by reading.

--- a/src/libbulrush/version/serviceload.cpp
+++ b/src/libbulrush/version/serviceload.cpp
@@ -100,6 +100,9 @@
 std::set<ServerName> ServiceLoad::pausedServers(const std::map<ServerName, double> &demand,
                                                 Instant now)
 {
+    std::erase_if(m_pauses, [now](const auto &entry) {
+        return now - std::max(entry.second.end, entry.second.keptOutUntil) > relapsePeriod;
+    });
     std::set<ServerName> paused;
     for (auto &[server, pause] : m_pauses) {
         const auto rate = demand.find(server);
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -7,6 +7,7 @@
 #include <asio/post.hpp>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace bulrush {
@@ -21,6 +22,8 @@
 constexpr Duration relayEvidencePeriod = std::chrono::seconds{2};
 /** Servers probed at a time, as many daemons may regain their paths at once. */
 constexpr std::size_t maxProbes = 4;
+/** Reports of leaving servers to the planner are this far apart, at least. */
+constexpr Duration minReportInterval = std::chrono::milliseconds{200};
 /** Maximum number of unknown fields that are logged, as servers may send any number. */
 constexpr std::size_t maxLoggedFields = 20;
 /** Maximum length of a field's value in a log line. */
@@ -262,7 +265,7 @@
         return;
     }
     const auto *backoff = std::get_if<Backoff>(&statement);
-    if (!backoff)
+    if (!backoff || backoff->duration == Duration::zero())
         return;
     const Instant now = io::hostNow();
     notices.recordBackoff(answer.server, backoff->duration + returnDelay(answer.server, *backoff),
@@ -307,8 +310,22 @@
     counters.add(EntryCounter::ServersLeaving);
     io::logEvent(LogLevel::Info, "server-leaving",
                  {{"server", server.value()}, {"source", "answer"}, {"request", request}});
-    if (leavingHandler)
-        leavingHandler();
+    reportLeavingEarly(server);
+}
+
+/** Makes this daemon report \a server to the planner at once if its keys do not move already. */
+void ForwardContext::reportLeavingEarly(const ServerName &server)
+{
+    const Instant now = io::hostNow();
+    const bool isListedAsReady =
+        state && std::ranges::any_of(state->assignments, [&](const auto &entry) {
+            const KnownServer *known = state->server(entry.first, server);
+            return known && known->isReady();
+        });
+    if (!leavingHandler || !isListedAsReady || now - m_leavingReportedAt < minReportInterval)
+        return;
+    m_leavingReportedAt = now;
+    leavingHandler();
 }
 
 void ForwardContext::recordServerReached(const ServerName &server)
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -87,7 +87,7 @@
     CrashHandlers crashHandlers;
     /** Called on this thread. */
     PermitHandler permits;
-    /** Called on this thread when a server first announces that it leaves. */
+    /** Called on this thread when the planner is to learn at once that an owner of keys leaves. */
     std::function<void()> leavingHandler;
     /** Servers that were found to be replaced, since the last report to the planner. */
     std::map<ServiceName, std::set<ServerName>> stoppedServers;
@@ -175,6 +175,7 @@
     LimitChange recordLimit(const Answer &answer, const ServerStatement &statement);
     void recordBackoff(const Answer &answer, const BackoffStatement &statement);
     Duration returnDelay(const ServerName &server, const Backoff &backoff) const;
+    void reportLeavingEarly(const ServerName &server);
     void removeStaleNotices();
     void handleRemovedServers();
     void logRoutes(const RoutingState &published);
@@ -185,6 +186,7 @@
     ConfigBudget m_configBudget;
     /** The last instant at which the store was confirmed to hold no later configuration. */
     Instant m_configConfirmedAt;
+    Instant m_leavingReportedAt;
     std::set<std::string, std::less<>> m_loggedFields;
     /** The server that was probed last because all are out of reach. */
     ServerName m_probedServer;
--- a/src/libbulrushentry/forwardworker.h
+++ b/src/libbulrushentry/forwardworker.h
@@ -68,8 +68,8 @@
     void setPermitHandler(PermitHandler handler);
 
     /**
-     * Sets the handler, called on the traffic thread, for the first announcement of a server that
-     * it leaves, so that its load can be reported early. \pre start() was not called
+     * Sets the handler, called on the traffic thread, that reports the loads early because an owner
+     * of keys has announced that it leaves. \pre start() was not called
      */
     void setLeavingHandler(std::function<void()> handler);
 
--- a/tests/keydecisions/test_serviceload.cpp
+++ b/tests/keydecisions/test_serviceload.cpp
@@ -47,6 +47,9 @@
     // Nobody is refused any more, as the keys have moved.
     BOOST_TEST(isPaused(start + 4499ms));
     BOOST_TEST(!isPaused(start + 4501ms));
+    BOOST_TEST(load.hasPauses());
+    isPaused(start + 4501ms + ServiceLoad::relapsePeriod);
+    BOOST_TEST(!load.hasPauses());
 }
 
 BOOST_FIXTURE_TEST_CASE(serverThatRefusesFewCallersKeepsItsKeys, Fixture)
