--- a/src/libbulrush/process/serverdirectory.h
+++ b/src/libbulrush/process/serverdirectory.h
@@ -37,8 +37,7 @@
      * to be.
      */
     std::optional<Instant> evacuatedAfter = std::nullopt;
-    /** Set once it announced in an answer to some daemon that it leaves, whatever its record says.
-     */
+    /** Set once it announced to some daemon that it leaves, whatever its record says. */
     std::optional<Instant> leavingSince = std::nullopt;
     /** Until then it is cold, or may be. */
     Instant coldUntil{};
--- a/src/libbulrush/process/servernotices.h
+++ b/src/libbulrush/process/servernotices.h
@@ -38,8 +38,10 @@
 class ServerNotices
 {
 public:
-    /** What is known of a server that is not listed any more is kept for this long, as its record
-     * may be missing only for a moment. */
+    /**
+     * What is known of a server that is not listed any more is kept for this long, as its record
+     * may be missing only for a moment.
+     */
     static constexpr Duration unlistedRetention = std::chrono::minutes{1};
 
     /** Records that \a server asked for a pause of \a asked. */
--- a/src/libbulrush/version/serviceload.cpp
+++ b/src/libbulrush/version/serviceload.cpp
@@ -74,7 +74,7 @@
     return now >= endedAt && now - endedAt <= recoveryPeriod;
 }
 
-/** \returns what is left of \a count after \a age with the half-life of spikes. */
+/** \returns the requests per second that were refused lately because of \a pause. */
 double ServiceLoad::refusedRate(const Pause &pause, Instant now)
 {
     const std::chrono::duration<double> halfLife = spikeHalfLife;
--- a/tests/entryfleet/test_entrybackoffs.cpp
+++ b/tests/entryfleet/test_entrybackoffs.cpp
@@ -58,3 +58,32 @@
     BOOST_TEST(page("a1", "/notices").find("backoff: p1 left-ms=0 ") != std::string::npos);
     BOOST_TEST(mostDuringPause("p2", 10s) <= allowedDuringPause);
 }
+
+BOOST_FIXTURE_TEST_CASE(pauseHoldsForEachDaemonWhileOneRelaysItsRequestsThroughOthers, NoticeFleet)
+{
+    const std::string owner = busiestOwner();
+    partitionFromServers({"a1"});
+    sendFor(2s);
+    askForBackoff(owner, "3");
+    askForBackoff("p1", "3");
+    const FirstAttempts during = sumOf(sendFor(6s));
+    BOOST_TEST_MESSAGE("during the pauses: served " << during.served << " of " << during.sent);
+    BOOST_TEST(mostDuringPause(owner, 3s) <= allowedDuringPause);
+    BOOST_TEST(mostDuringPause("p1", 3s) <= allowedDuringPause);
+    BOOST_TEST(during.served * 10 >= during.sent * 8);
+    expectHonestOutcomes();
+}
+
+BOOST_FIXTURE_TEST_CASE(pauseHoldsAndKeysMoveAlthoughThePlannerIsLost, NoticeFleet)
+{
+    const std::string owner = busiestOwner();
+    askForBackoff(owner, "3");
+    const std::string lost = planner();
+    daemon(lost).kill();
+    sendFor(6s); // until another daemon plans
+    const FirstAttempts later = sumOf(sendFor(4s));
+    BOOST_TEST_MESSAGE("later: served " << later.served << " of " << later.sent);
+    BOOST_TEST(mostDuringPause(owner, 3s) <= allowedDuringPause);
+    // One of the six daemons that requests go to is gone.
+    BOOST_TEST(later.served * 10 >= later.sent * 7);
+}
--- a/tests/standins/keyed/keyedserver.cpp
+++ b/tests/standins/keyed/keyedserver.cpp
@@ -331,9 +331,13 @@
 
 void KeyedServer::setFaults(const Json::Value &json)
 {
-    m_namedLimit = json["namedLimit"].asString();
-    m_backoff = json["backoff"].asString();
-    m_isLeaving = json["leaving"].asBool();
+    // What the server states about itself lasts until it is changed.
+    if (json.isMember("namedLimit"))
+        m_namedLimit = json["namedLimit"].asString();
+    if (json.isMember("backoff"))
+        m_backoff = json["backoff"].asString();
+    if (json.isMember("leaving"))
+        m_isLeaving = json["leaving"].asBool();
     const Json::Value &faults = json["spoilAnswers"];
     m_answerFaults.clear();
     for (const std::string &name : faults.getMemberNames()) {
