Give keys back after a long pause that an operator has ended

What callers could see: a server that asks for a pause of a year by mistake stayed without keys for that year although an operator had ended the pause on all hosts, as the planner took the end that was reported first.

--- a/src/libbulrush/version/serviceload.cpp
+++ b/src/libbulrush/version/serviceload.cpp
@@ -124,7 +124,7 @@
     const bool isRelapse = now - pause.keptOutUntil < relapsePeriod;
     const Duration earlier = isRelapse ? pause.keptOutUntil - pause.keptOutSince : Duration::zero();
     pause.keptOutSince = now;
-    pause.keptOutUntil = std::max(pause.end, now + std::min(maxPause, 2 * earlier));
+    pause.keptOutUntil = now + std::min(maxPause, std::max(pause.end - now, 2 * earlier));
     return true;
 }
 
--- a/src/libbulrush/version/serviceload.h
+++ b/src/libbulrush/version/serviceload.h
@@ -98,6 +98,10 @@
      * keys for twice as long as before.
      */
     static constexpr Duration relapsePeriod = std::chrono::seconds{5};
+    /**
+     * After this time such a server gets keys whatever it asked for, as the planner does not hear
+     * that an operator has ended a pause.
+     */
     static constexpr Duration maxPause = std::chrono::seconds{30};
 
     /** For this long after its limit has ended, a server counts as recovered. */
--- a/tests/keydecisions/test_serviceload.cpp
+++ b/tests/keydecisions/test_serviceload.cpp
@@ -76,3 +76,11 @@
     BOOST_TEST(isPaused(start + 32s));
     BOOST_TEST(!isPaused(start + 33600ms));
 }
+
+BOOST_FIXTURE_TEST_CASE(longPauseDoesNotKeepAServerWithoutKeysAfterItIsEnded, Fixture)
+{
+    refuse(start, start + 2s, 20, std::chrono::hours{365 * 24});
+    BOOST_TEST(isPaused(start + 2s));
+    // An operator has ended the pause, so that nothing is refused any more.
+    BOOST_TEST(!isPaused(start + 2s + ServiceLoad::maxPause));
+}
