--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -371,23 +371,23 @@
 }
 
 /** \returns the owners of keys that are to have none because they asked for pauses. */
-std::set<ServerName> KeyCoordinator::pausedServers(const ServiceName &service, Instant now)
+std::set<ServerName> KeyCoordinator::serversBackingOff(const ServiceName &service, Instant now)
 {
     const auto load = m_loads.find(service);
     const KeyAssignment *known = assignment(service);
-    if (load == m_loads.end() || !known || !load->second.hasPauses())
+    if (load == m_loads.end() || !known || !load->second.hasBackoffs())
         return {};
     const RateSums rates{load->second.traffic(now).rates};
     std::map<ServerName, double> demand;
     for (const OwnedRange &owned : known->ranges)
         demand[owned.owner] += rates.of(owned.range);
-    return load->second.pausedServers(demand, now);
+    return load->second.serversBackingOff(demand, now);
 }
 
 std::vector<KeyServer> KeyCoordinator::readyServers(const ServiceName &service,
                                                     const ServerDirectory &servers, Instant now)
 {
-    const std::set<ServerName> paused = pausedServers(service, now);
+    const std::set<ServerName> backingOff = serversBackingOff(service, now);
     const auto load = m_loads.find(service);
     std::vector<KeyServer> ready;
     std::vector<KeyServer> cold;
@@ -408,10 +408,10 @@
         if (server.record.coldRemaining > Duration::zero())
             capacity *= coldCapacityFactor;
         const bool isRecovered = load != m_loads.end() && load->second.isRecovered(id, now);
-        (paused.contains(id) ? excluded : ready).push_back({id, capacity, limit, isRecovered});
+        (backingOff.contains(id) ? excluded : ready).push_back({id, capacity, limit, isRecovered});
     }
     const auto known = static_cast<double>(ready.size() + excluded.size());
-    if (static_cast<double>(excluded.size()) > maxExcludedPausedFraction * known)
+    if (static_cast<double>(excluded.size()) > maxExcludedBackoffFraction * known)
         ready.insert(ready.end(), excluded.begin(), excluded.end());
     const auto total = static_cast<double>(ready.size() + cold.size());
     if (static_cast<double>(cold.size()) > maxExcludedColdFraction * total)
--- a/src/libbulrush/process/keycoordinator.h
+++ b/src/libbulrush/process/keycoordinator.h
@@ -89,7 +89,7 @@
      */
     static constexpr double maxExcludedColdFraction = 0.75;
     /** The same for servers that asked for pauses. */
-    static constexpr double maxExcludedPausedFraction = 0.5;
+    static constexpr double maxExcludedBackoffFraction = 0.5;
 
     /**
      * A service is planned again this long after a commit of its assignment has failed. Rejected
@@ -242,7 +242,7 @@
                                                 Instant now);
     std::vector<KeyServer> readyServers(const ServiceName &service, const ServerDirectory &servers,
                                         Instant now);
-    std::set<ServerName> pausedServers(const ServiceName &service, Instant now);
+    std::set<ServerName> serversBackingOff(const ServiceName &service, Instant now);
 
     DaemonIdentity m_self;
     PlannerLease m_lease;
--- a/src/libbulrush/process/servernotices.cpp
+++ b/src/libbulrush/process/servernotices.cpp
@@ -1,6 +1,9 @@
 #include "process/servernotices.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <string>
 
 namespace bulrush {
 
@@ -70,4 +73,13 @@
                   [this](const auto &entry) { return !m_notices.contains(entry.first); });
 }
 
+Duration returnDelay(const HostName &host, const ServerName &server, Duration asked,
+                     Duration allHandledIn)
+{
+    constexpr std::int64_t steps = 1000;
+    const std::string name = host.value() + '/' + server.value();
+    const auto step = static_cast<std::int64_t>(XXH3_64bits(name.data(), name.size()) % steps);
+    return std::min(asked / 2, allHandledIn) * step / steps;
+}
+
 } // namespace bulrush
--- a/src/libbulrush/process/servernotices.h
+++ b/src/libbulrush/process/servernotices.h
@@ -29,8 +29,8 @@
 
 /**
  * The pauses that backend servers have asked this daemon for, and the servers that have announced
- * to stop, as known to one traffic thread. A pause binds only the daemon that it was asked of; it
- * is extended by further refusals, never shortened.
+ * that they leave, as known to one traffic thread. A pause binds only the daemon that it was asked
+ * of; it is extended by further refusals, never shortened.
  *
  * Not thread safe. Instants never decrease and come from a clock that keeps running while the host
  * is suspended.
@@ -79,6 +79,15 @@
     std::map<ServerName, Instant> m_unlistedSince;
 };
 
+/**
+ * \returns the time after a pause of \a asked at which the daemon of \a host sends to \a server
+ * again. Daemons that were asked at the same time are spread over \a allHandledIn, the time in
+ * which the server handles one request of each, so that they do not overload it at once; at most
+ * half of the pause. Thread safe.
+ */
+Duration returnDelay(const HostName &host, const ServerName &server, Duration asked,
+                     Duration allHandledIn);
+
 inline bool ServerNotice::isBackingOff(Instant now) const
 {
     return now < backoffUntil;
--- a/src/libbulrush/request/serverpicker.cpp
+++ b/src/libbulrush/request/serverpicker.cpp
@@ -57,7 +57,7 @@
     return m_serverFreshness.isStoreUnreachable ? Duration::zero() : now - m_serverFreshness.asOf;
 }
 
-Instant ServerPicker::maxSendAge(const KnownServer &server) const
+Instant ServerPicker::sendDeadline(const KnownServer &server) const
 {
     Instant latest = Instant::max();
     if (server.drainsAfter)
--- a/src/libbulrush/request/serverpicker.h
+++ b/src/libbulrush/request/serverpicker.h
@@ -127,7 +127,7 @@
                               Instant now) const;
 
     /** \returns the latest instant to send a request to \a server once it has a connection. */
-    Instant maxSendAge(const KnownServer &server) const;
+    Instant sendDeadline(const KnownServer &server) const;
 
     /** \returns whether a request that was meant for \a server at its choice may be sent now. */
     bool isStillWanted(const ServerName &server, Instant now) const;
--- a/src/libbulrush/version/serviceload.cpp
+++ b/src/libbulrush/version/serviceload.cpp
@@ -74,57 +74,61 @@
     return now >= endedAt && now - endedAt <= recoveryPeriod;
 }
 
-/** \returns the requests per second that were refused lately because of \a pause. */
-double ServiceLoad::refusedRate(const Pause &pause, Instant now)
+/** \returns the requests per second that were refused lately because of \a backoff. */
+double ServiceLoad::refusedRate(const ServerBackoff &backoff, Instant now)
 {
     const std::chrono::duration<double> halfLife = spikeHalfLife;
-    const std::chrono::duration<double> age = now - pause.countedAt;
-    return pause.refusals * std::exp2(-age / halfLife) * std::numbers::ln2 / halfLife.count();
+    const std::chrono::duration<double> age = now - backoff.countedAt;
+    return backoff.refusals * std::exp2(-age / halfLife) * std::numbers::ln2 / halfLife.count();
 }
 
 void ServiceLoad::addBackoff(const BackoffReport &report, Instant now)
 {
-    Pause &pause = m_pauses[report.server];
+    ServerBackoff &backoff = m_backoffs[report.server];
     const std::chrono::duration<double> halfLife = spikeHalfLife;
-    pause.refusals = refusedRate(pause, now) * halfLife.count() / std::numbers::ln2
+    backoff.refusals = refusedRate(backoff, now) * halfLife.count() / std::numbers::ln2
         + static_cast<double>(report.refusedCount);
-    pause.countedAt = now;
-    pause.end = std::max(pause.end, now + report.left);
+    backoff.countedAt = now;
+    backoff.end = std::max(backoff.end, now + report.left);
 }
 
-bool ServiceLoad::hasPauses() const
+bool ServiceLoad::hasBackoffs() const
 {
-    return !m_pauses.empty();
+    return !m_backoffs.empty();
 }
 
-std::set<ServerName> ServiceLoad::pausedServers(const std::map<ServerName, double> &demand,
-                                                Instant now)
+std::set<ServerName> ServiceLoad::serversBackingOff(const std::map<ServerName, double> &demand,
+                                                    Instant now)
 {
-    std::erase_if(m_pauses, [now](const auto &entry) {
-        return now - std::max(entry.second.end, entry.second.keptOutUntil) > relapsePeriod;
+    std::erase_if(m_backoffs, [now](const auto &entry) {
+        return now - std::max(entry.second.end, entry.second.withoutKeysUntil) > relapsePeriod;
     });
-    std::set<ServerName> paused;
-    for (auto &[server, pause] : m_pauses) {
+    std::set<ServerName> servers;
+    for (auto &[server, backoff] : m_backoffs) {
         const auto rate = demand.find(server);
-        if (isKeptOut(pause, rate == demand.end() ? 0.0 : rate->second, now))
-            paused.insert(server);
+        if (isWithoutKeys(backoff, rate == demand.end() ? 0.0 : rate->second, now))
+            servers.insert(server);
     }
-    return paused;
+    return servers;
 }
 
-/** \returns whether a server with \a pause is to have no keys, and starts such a time if it is due.
+/** \returns whether a server with \a backoff is to have no keys, and starts such a time if it is
+ * due.
  */
-bool ServiceLoad::isKeptOut(Pause &pause, double demand, Instant now)
+bool ServiceLoad::isWithoutKeys(ServerBackoff &backoff, double demand, Instant now)
 {
-    if (now < pause.keptOutUntil)
+    if (now < backoff.withoutKeysUntil)
         return true;
-    const double refused = refusedRate(pause, now);
-    if (pause.end - now < minPause || refused < minPausedRate || refused < pausedFraction * demand)
+    const double refused = refusedRate(backoff, now);
+    if (backoff.end - now < minBackoff || refused < minRefusedRate
+        || refused < minRefusedFraction * demand)
         return false;
-    const bool isRelapse = now - pause.keptOutUntil < relapsePeriod;
-    const Duration earlier = isRelapse ? pause.keptOutUntil - pause.keptOutSince : Duration::zero();
-    pause.keptOutSince = now;
-    pause.keptOutUntil = now + std::min(maxPause, std::max(pause.end - now, 2 * earlier));
+    const bool isRelapse = now - backoff.withoutKeysUntil < relapsePeriod;
+    const Duration earlier =
+        isRelapse ? backoff.withoutKeysUntil - backoff.withoutKeysSince : Duration::zero();
+    backoff.withoutKeysSince = now;
+    backoff.withoutKeysUntil =
+        now + std::min(maxTimeWithoutKeys, std::max(backoff.end - now, 2 * earlier));
     return true;
 }
 
--- a/src/libbulrush/version/serviceload.h
+++ b/src/libbulrush/version/serviceload.h
@@ -33,12 +33,13 @@
     bool operator==(const LimitReport &) const = default;
 };
 
-/** Requests that a daemon refused since its last report because their server asked for a pause. */
+/** Requests that a daemon refused since its last report because their server asked for a backoff.
+ */
 struct BackoffReport
 {
     ServerName server;
     std::uint32_t refusedCount = 0;
-    /** Until the end of the pause. */
+    /** Until the end of the backoff. */
     Duration left{};
 
     bool operator==(const BackoffReport &) const = default;
@@ -88,11 +89,11 @@
      * A server that asked for pauses loses its keys if at least this fraction of their requests are
      * refused for that: those that are served elsewhere then outweigh the moves.
      */
-    static constexpr double pausedFraction = 0.4;
+    static constexpr double minRefusedFraction = 0.4;
     /** Requests refused per second from which on that fraction is significant. */
-    static constexpr double minPausedRate = 1.0;
+    static constexpr double minRefusedRate = 1.0;
     /** Keys do not move for a pause that ends sooner, as a move takes about as long. */
-    static constexpr Duration minPause = std::chrono::milliseconds{700};
+    static constexpr Duration minBackoff = std::chrono::milliseconds{700};
     /**
      * If a server asks for a pause again within this time after it got keys back, it is without
      * keys for twice as long as before.
@@ -100,9 +101,9 @@
     static constexpr Duration relapsePeriod = std::chrono::seconds{5};
     /**
      * After this time such a server gets keys whatever it asked for, as the planner does not hear
-     * that an operator has ended a pause.
+     * that an operator has ended a backoff.
      */
-    static constexpr Duration maxPause = std::chrono::seconds{30};
+    static constexpr Duration maxTimeWithoutKeys = std::chrono::seconds{30};
 
     /** For this long after its limit has ended, a server counts as recovered. */
     static constexpr Duration recoveryPeriod = std::chrono::seconds{10};
@@ -127,13 +128,13 @@
     bool isRecovered(const ServerName &server, Instant now) const;
 
     /** \returns whether a server asked for a pause that some daemon has reported. */
-    bool hasPauses() const;
+    bool hasBackoffs() const;
 
     /**
      * \returns the servers that are to have no keys because they asked for pauses. \a demand is the
      * number of requests per second for the keys of each server.
      */
-    std::set<ServerName> pausedServers(const std::map<ServerName, double> &demand, Instant now);
+    std::set<ServerName> serversBackingOff(const std::map<ServerName, double> &demand, Instant now);
 
 private:
     struct Speed
@@ -150,29 +151,29 @@
     };
 
     /** The pauses that a server asked for. */
-    struct Pause
+    struct ServerBackoff
     {
         /** Refused requests, with a half-life of spikeHalfLife. */
         double refusals = 0.0;
         Instant countedAt;
         /** The latest end of the pauses that daemons have reported. */
         Instant end;
-        /** The server is without keys from then until keptOutUntil. */
-        Instant keptOutSince;
-        Instant keptOutUntil;
+        /** The server is without keys from then until withoutKeysUntil. */
+        Instant withoutKeysSince;
+        Instant withoutKeysUntil;
     };
 
     double meanTime() const;
     void addBackoff(const BackoffReport &report, Instant now);
-    static double refusedRate(const Pause &pause, Instant now);
-    static bool isKeptOut(Pause &pause, double demand, Instant now);
+    static double refusedRate(const ServerBackoff &backoff, Instant now);
+    static bool isWithoutKeys(ServerBackoff &backoff, double demand, Instant now);
     void addLimit(const LimitReport &report, Instant now);
 
     KeyLoads m_steady;
     KeyLoads m_spikes;
     std::map<ServerName, Speed> m_speeds;
     std::map<ServerName, Limit> m_limits;
-    std::map<ServerName, Pause> m_pauses;
+    std::map<ServerName, ServerBackoff> m_backoffs;
 };
 
 } // namespace bulrush
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -103,6 +103,8 @@
     });
     connectCrashControl();
     connectPermitControl();
+    // The planner has to move the keys of a server that leaves while it still serves.
+    m_worker.setLeavingHandler([this] { asio::post(m_loop, [this] { collectLoads(); }); });
     m_worker.start();
     m_state.start();
     m_keys.start();
@@ -135,8 +137,6 @@
 /** Forwards the traffic thread's queries for permits, and their answers. */
 void EntryDaemon::connectPermitControl()
 {
-    // The planner has to move the keys of a server that leaves while it still serves.
-    m_worker.setLeavingHandler([this] { asio::post(m_loop, [this] { collectLoads(); }); });
     m_worker.setPermitHandler([this](const PermitQuery &query, auto handler) {
         asio::post(m_loop, [this, query, handler = std::move(handler)] {
             m_permits.query(query, [this, handler](const PermitAnswer &answer) {
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -5,7 +5,6 @@
 #include "process/logging.h"
 
 #include <asio/post.hpp>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -268,8 +267,9 @@
     if (!backoff || backoff->duration == Duration::zero())
         return;
     const Instant now = io::hostNow();
-    notices.recordBackoff(answer.server, backoff->duration + returnDelay(answer.server, *backoff),
-                          now);
+    const Duration delay =
+        returnDelay(self, answer.server, backoff->duration, timeForAllDaemons(answer.server));
+    notices.recordBackoff(answer.server, backoff->duration + delay, now);
     gauges.recordBackoff(answer.server);
     counters.add(EntryCounter::ServerBackoffs);
     const ServerNotice &notice = *notices.find(answer.server);
@@ -283,24 +283,14 @@
                   {"request-ms", io::millisecondsText(now - answer.sentAt)}});
 }
 
-/**
- * \returns the time after a pause at which this daemon sends to \a server again. Daemons that were
- * asked at the same time are spread over the time in which the server can handle one request of
- * each, so that they do not overload it at once.
- */
-Duration ForwardContext::returnDelay(const ServerName &server, const Backoff &backoff) const
+/** \returns the time in which \a server handles one request of each daemon; zero if unknown. */
+Duration ForwardContext::timeForAllDaemons(const ServerName &server) const
 {
     const ServerRecord *record = findServer(server);
     if (!record)
         return Duration::zero();
     const Duration time = gauges.serviceTime(server).value_or(ServerGauges::defaultServiceTime);
-    const auto daemons = static_cast<std::int64_t>(state->daemonCount);
-    const Duration spread =
-        std::min(backoff.duration / 2, time * daemons / std::max(1U, record->slots));
-    const std::string name = self.value() + '/' + server.value();
-    constexpr std::int64_t steps = 1000;
-    return spread * static_cast<std::int64_t>(XXH3_64bits(name.data(), name.size()) % steps)
-        / steps;
+    return time * static_cast<std::int64_t>(state->daemonCount) / std::max(1U, record->slots);
 }
 
 void ForwardContext::recordLeaving(const ServerName &server, const std::string &request)
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -174,7 +174,7 @@
     const ServerRecord *findServer(const ServerName &server) const;
     LimitChange recordLimit(const Answer &answer, const ServerStatement &statement);
     void recordBackoff(const Answer &answer, const BackoffStatement &statement);
-    Duration returnDelay(const ServerName &server, const Backoff &backoff) const;
+    Duration timeForAllDaemons(const ServerName &server) const;
     void reportLeavingEarly(const ServerName &server);
     void removeStaleNotices();
     void handleRemovedServers();
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -37,8 +37,7 @@
 constexpr Duration answerTransitTime = std::chrono::milliseconds{4};
 /** Maximum length of a request's path and query in a log line. */
 constexpr std::size_t maxLoggedPathLength = 80;
-/** Divides the pause after a refused permit if no server of the service takes requests without a
- * permit. */
+/** Divides the pause after a refused permit if all servers of the service name limits. */
 constexpr int allLimitedPauseDivisor = 4;
 /** Requests of other daemons that are handled at a time, as they must not displace own callers. */
 constexpr std::size_t maxOpenRelays = 200;
@@ -280,7 +279,7 @@
     removeRelayFields(call.headers);
     call.body = m_body;
     call.timeout = timeLeft() + std::chrono::seconds{1};
-    call.sendDeadline = std::min(m_answerBy - RequestQueue::minServiceTime, maxSendAge());
+    call.sendDeadline = std::min(m_answerBy - RequestQueue::minServiceTime, sendDeadline());
     if (const auto validUntil = m_permit.validUntil(server.id))
         call.sendDeadline = std::min(call.sendDeadline, *validUntil);
     m_permit.reset();
@@ -300,8 +299,8 @@
     return !m_context.limits.find(server) || m_permit.allows(server, now);
 }
 
-/** \returns the longest time that the request should wait for \a server to take it. */
-Duration ForwardExchange::maxUsefulWait(const ServerRecord &server, Instant now) const
+/** \returns the longest time that the request should wait for a permit of \a server. */
+Duration ForwardExchange::maxPermitWait(const ServerRecord &server, Instant now) const
 {
     // Servers without a limit can take the request at once.
     if (!m_isDividedByKey && !haveAllServersLimits())
@@ -332,7 +331,7 @@
         m_context.limits.close(server.id, now + permitPause(limit, 1));
     m_context.counters.add(EntryCounter::PermitsQueried);
     const PermitQuery query{server.id, server.domain, limit.perSecond, now - limit.namedAt,
-                            maxUsefulWait(server, now)};
+                            maxPermitWait(server, now)};
     m_context.permits(query,
                       [self = shared_from_this(), namedAt = limit.namedAt,
                        maxWait = query.maxWait](const PermitAnswer &answer) {
@@ -376,10 +375,10 @@
 }
 
 /** \returns the instant until which the request may be sent to the chosen server. */
-Instant ForwardExchange::maxSendAge() const
+Instant ForwardExchange::sendDeadline() const
 {
     const KnownServer *server = m_context.state->server(m_service, m_server);
-    return server ? m_context.picker.maxSendAge(*server) : Instant::max();
+    return server ? m_context.picker.sendDeadline(*server) : Instant::max();
 }
 
 void ForwardExchange::handleAttemptResult(const io::HttpResult &result)
@@ -442,23 +441,31 @@
     }
     const bool isKeyMissing = status == misdirected;
     Duration delay = isKeyMissing ? misdirectedDelay : refusedDelay;
-    if (m_isDividedByKey) {
+    if (!m_isDividedByKey) {
+        m_tried.push_back(m_server);
+    } else if (const Duration left = m_context.notices.backoffLeft(m_server, io::hostNow());
+               left > Duration::zero()) {
         // Only this server has the key.
-        const Instant now = io::hostNow();
-        const KnownServer *server = m_context.state->server(m_service, m_server);
-        const Duration pause = m_context.notices.backoffLeft(m_server, now);
-        if (server && pause > maxUsefulWait(server->record, now)) {
-            refuseForBackoff(m_server, pause);
+        if (!isOnTimeAfter(left)) {
+            refuseForBackoff(m_server, left);
             return;
         }
-        delay = std::max(delay, pause);
-    } else {
-        m_tried.push_back(m_server);
+        delay = std::max(delay, left);
     }
     if (!scheduleRetry(delay))
         refuseNotRun(isKeyMissing ? "server-has-not-the-key" : "server-refused");
 }
 
+/** \returns whether an answer can be on time if the request is sent to its owner after \a wait. */
+bool ForwardExchange::isOnTimeAfter(Duration wait) const
+{
+    const Instant now = io::hostNow();
+    const ServerRecord *server = owner();
+    return server
+        && now + wait + m_context.gauges.expectedLatency(*server, now)
+        <= m_startedAt + m_route->targetLatency;
+}
+
 /** Reports that the server has no limit any more to the issuer of its permits. */
 void ForwardExchange::reportLimitEnd()
 {
@@ -507,6 +514,10 @@
 {
     const Instant now = io::hostNow();
     m_context.counters.add(EntryCounter::AttemptsWithdrawn);
+    io::logEvent(LogLevel::Info, "attempt-withdrawn",
+                 {{"request", m_terms.id},
+                  {"server", m_server.value()},
+                  {"after-ms", io::millisecondsText(now - m_sentAt)}});
     m_context.gauges.attemptEnded(m_server, AttemptOutcome::Abandoned, now - m_sentAt, std::nullopt,
                                   now);
     --m_attempts;
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -68,14 +68,15 @@
     void recordCrashEvidence(int status);
     void enqueue(Instant notBefore);
     bool hasPermit(const ServerName &server, Instant now) const;
-    Duration maxUsefulWait(const ServerRecord &server, Instant now) const;
+    Duration maxPermitWait(const ServerRecord &server, Instant now) const;
     bool haveAllServersLimits() const;
     void queryPermit(const ServerRecord &server);
     void handlePermit(const PermitAnswer &answer, Instant namedAt, Duration maxWait);
     void reportLimitEnd();
-    Instant maxSendAge() const;
+    Instant sendDeadline() const;
     void handleAttemptResult(const io::HttpResult &result);
     void handleAnswer(const io::HttpResult &result);
+    bool isOnTimeAfter(Duration wait) const;
     void handleRefusal(const ServerStatement &statement, int status);
     void handleBrokenAttempt(const io::HttpResult &result);
     void handleWithdrawnAttempt();
--- a/src/libbulrushentry/requestpermit.h
+++ b/src/libbulrushentry/requestpermit.h
@@ -28,8 +28,7 @@
     /** \returns whether the permit allows to send to \a server at \a now. */
     bool allows(const ServerName &server, Instant now) const;
 
-    /** \returns the instant until which the request may be sent to \a server by the permit, if any.
-     */
+    /** \returns the instant until which the permit allows to send to \a server, if it does. */
     std::optional<Instant> validUntil(const ServerName &server) const;
 
     /** \returns the server of the permit; empty if there is none. */
--- a/tests/requestqueue/test_requestqueue.cpp
+++ b/tests/requestqueue/test_requestqueue.cpp
@@ -184,7 +184,7 @@
     BOOST_TEST(sent.at(2) == "c1"); // until its keys have moved
     queue.add(keyedRequest(5, start + 1400ms));
     BOOST_TEST(dispatch(start + 1401ms).empty());
-    BOOST_TEST((picker.maxSendAge(state.servers[keyed][0]) == start + 1500ms));
+    BOOST_TEST((picker.sendDeadline(state.servers[keyed][0]) == start + 1500ms));
     BOOST_TEST(picker.isStillWanted(ServerName{"c1"}, start + 1500ms));
     BOOST_TEST(!picker.isStillWanted(ServerName{"c1"}, start + 1501ms));
 }
@@ -196,7 +196,7 @@
     notices.recordLeaving(ServerName{"c1"}, start + 800ms);
     queue.add(keyedRequest(5, start));
     BOOST_TEST(dispatch(start + 1001ms).empty());
-    BOOST_TEST((picker.maxSendAge(state.servers[keyed][0]) == start + 1500ms));
+    BOOST_TEST((picker.sendDeadline(state.servers[keyed][0]) == start + 1500ms));
 }
 
 BOOST_FIXTURE_TEST_CASE(drainingServerReceivesNoRequests, Fixture)
@@ -213,7 +213,7 @@
     // Independent of when the drain was detected: the second half of the bound of two seconds is
     // for the connection and the link.
     BOOST_TEST(dispatch(start + 1001ms).empty());
-    BOOST_TEST((picker.maxSendAge(state.servers[keyed][0]) == start + 1500ms));
+    BOOST_TEST((picker.sendDeadline(state.servers[keyed][0]) == start + 1500ms));
 }
 
 BOOST_FIXTURE_TEST_CASE(noServerIsUsedWithOutdatedRoutingDataWhileStoreAnswers, Fixture)
@@ -221,7 +221,7 @@
     picker.setServerFreshness({start, false});
     queue.add(request(plain, start));
     BOOST_TEST(dispatch(start + 1400ms).at(1) == "p1");
-    BOOST_TEST((picker.maxSendAge(state.servers[plain][0]) == start + 1500ms));
+    BOOST_TEST((picker.sendDeadline(state.servers[plain][0]) == start + 1500ms));
     queue.add(request(plain, start + 1400ms));
     queue.add(keyedRequest(5, start + 1400ms));
     std::map<std::uint64_t, GiveUpReason> givenUpReasons;
@@ -398,7 +398,7 @@
     // By default the bound is 5 s; more than half of it is for the connection and the link.
     queue.add(keyedRequest(5, start + 2200ms));
     BOOST_TEST(dispatch(start + 2200ms).at(2) == "c1");
-    BOOST_TEST((picker.maxSendAge(state.servers[keyed][0]) == start + 3250ms));
+    BOOST_TEST((picker.sendDeadline(state.servers[keyed][0]) == start + 3250ms));
     queue.add(keyedRequest(5, start + 2251ms));
     std::map<std::uint64_t, GiveUpReason> givenUpReasons;
     BOOST_TEST(dispatch(start + 2251ms, &givenUpReasons).empty());
@@ -424,7 +424,7 @@
     picker.setEvacuationFreshness({start, false});
     queue.add(request(plain, start + 3s));
     BOOST_TEST(dispatch(start + 3s).at(1) == "p1");
-    BOOST_TEST((picker.maxSendAge(state.servers[plain][0]) == start + 3250ms));
+    BOOST_TEST((picker.sendDeadline(state.servers[plain][0]) == start + 3250ms));
     queue.add(request(plain, start + 3001ms));
     BOOST_TEST(dispatch(start + 3001ms).empty());
     picker.setEvacuationFreshness({start, true});
--- a/tests/requestqueue/test_servernotices.cpp
+++ b/tests/requestqueue/test_servernotices.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <chrono>
+#include <string>
 
 using namespace bulrush;
 using namespace std::chrono_literals;
@@ -50,6 +52,25 @@
     BOOST_TEST(!notices.endBackoff(server, start + 1s));
 }
 
+BOOST_AUTO_TEST_CASE(daemonsReturnSpreadOverTheTimeThatTheServerNeedsForAll)
+{
+    constexpr int daemonCount = 300;
+    constexpr int parts = 10;
+    const Duration allHandledIn = 9s;
+    std::array<int, parts> counts{};
+    for (int i = 0; i < daemonCount; ++i) {
+        const HostName host{"front-" + std::to_string(i)};
+        const Duration delay = returnDelay(host, server, 30s, allHandledIn);
+        BOOST_TEST((delay == returnDelay(host, server, 30s, allHandledIn)));
+        BOOST_REQUIRE((delay >= Duration::zero() && delay < allHandledIn));
+        ++counts.at(static_cast<std::size_t>(delay * parts / allHandledIn));
+        BOOST_TEST((returnDelay(host, server, 3s, allHandledIn) < 1500ms));
+    }
+    // An even spread has 30 in each part; five standard deviations more are allowed.
+    for (const int count : counts)
+        BOOST_TEST(count <= 57);
+}
+
 BOOST_AUTO_TEST_CASE(leavingIsKnownFromTheFirstAnnouncement)
 {
     ServerNotices notices;
