--- a/tests/entryfleet/test_entryannouncements.cpp
+++ b/tests/entryfleet/test_entryannouncements.cpp
@@ -99,3 +99,26 @@
     expectNoRequestsAfterDrainBound(owner);
     expectHonestOutcomes();
 }
+
+BOOST_FIXTURE_TEST_CASE(allServersOfAServiceMayAnnounceThatTheyLeave, AnnouncingFleet)
+{
+    announceLeaving("p2");
+    sendWhileLeaving("p1", 4s);
+    expectNoRequestsAfterDrainBound("p1");
+    expectNoRequestsAfterDrainBound("p2");
+    const auto before = Clock::now();
+    BOOST_TEST(send("a1", "POST", "/pay/x", std::nullopt, "x").status == 503);
+    BOOST_TEST((Clock::now() - before < 1s));
+    expectHonestOutcomes();
+}
+
+BOOST_FIXTURE_TEST_CASE(serverThatLeavesMayAlsoAskForAPause, AnnouncingFleet)
+{
+    const std::string owner = busiestOwner();
+    askForBackoff(owner, "1");
+    const FirstAttempts results = sendWhileLeaving(owner, 6s);
+    BOOST_TEST_MESSAGE("served " << results.served << " of " << results.sent);
+    expectNoRequestsAfterDrainBound(owner);
+    BOOST_TEST(mostDuringPause(owner, 1s) <= allowedDuringPause);
+    BOOST_TEST(results.served * 10 >= results.sent * 9);
+}
--- a/tests/entryfleet/test_entrybackoffs.cpp
+++ b/tests/entryfleet/test_entrybackoffs.cpp
@@ -87,3 +87,51 @@
     // One of the six daemons that requests go to is gone.
     BOOST_TEST(later.served * 10 >= later.sent * 7);
 }
+
+BOOST_FIXTURE_TEST_CASE(pauseHoldsForTheOwnerOfAHotKeyThatAsksAgainAndAgain, NoticeFleet)
+{
+    const std::string owner = ownerOf("a1", 0);
+    askForBackoff(owner, "1");
+    const auto end = Clock::now() + 6s;
+    while (Clock::now() < end) {
+        for (const std::string &host : hosts)
+            read(host, 0);
+    }
+    BOOST_TEST(refusedDaemonCount(owner) > 0);
+    BOOST_TEST(mostDuringPause(owner, 1s) <= allowedDuringPause);
+}
+
+BOOST_FIXTURE_TEST_CASE(pauseHoldsForAServerThatAlsoNamesALimit, NoticeFleet)
+{
+    nameLimit("p1", "5.0");
+    sendFor(2s);
+    askForBackoff("p1", "3");
+    const FirstAttempts during = sumOf(sendFor(6s));
+    BOOST_TEST_MESSAGE("during the pause: served " << during.served << " of " << during.sent);
+    BOOST_TEST(refusedDaemonCount("p1") > 0);
+    BOOST_TEST(mostDuringPause("p1", 3s) <= allowedDuringPause);
+    BOOST_TEST(during.served * 50 >= during.sent * 49);
+}
+
+BOOST_FIXTURE_TEST_CASE(pauseEndsWithTheRunOfItsServer, NoticeFleet)
+{
+    askForBackoff("p1", "60");
+    sendFor(1s);
+    BOOST_TEST(refusedDaemonCount("p1") > 0);
+    restartServer("p1");
+    sendFor(3s); // until all daemons know the new run
+    const auto from = Clock::now();
+    sendFor(2s);
+    BOOST_TEST(arrivalCountSince("p1", from) > 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(pauseThatCanNotBeReadIsNone, NoticeFleet)
+{
+    askForBackoff("p1", "soon");
+    sendFor(2s);
+    for (const std::string &host : hosts)
+        BOOST_TEST(counter(host, "bulrush_server_backoffs_total") == 0);
+    const auto from = Clock::now();
+    sendFor(1s);
+    BOOST_TEST(arrivalCountSince("p1", from) > 0);
+}
--- a/tests/forwardworker/test_forwardworker.cpp
+++ b/tests/forwardworker/test_forwardworker.cpp
@@ -25,6 +25,21 @@
     }
 }
 
+/** Answers as another server at the address, which leaves and wants no requests. */
+asio::awaitable<void> answerAsOther(ScriptedServer::Socket &socket, int /*connection*/)
+{
+    std::string buffer;
+    for (;;) {
+        const std::string head = co_await ScriptedServer::readHead(socket, buffer);
+        co_await ScriptedServer::write(
+            socket,
+            "HTTP/1.1 421 Misdirected Request\r\nX-Bulrushswitch-Request-Id: "
+                + fieldOf(head, "X-Bulrushswitch-Request-Id")
+                + "\r\nX-Bulrushswitch-Instance-Id: other\r\nServer-Leaving: 1\r\n"
+                  "Retry-After: 30\r\nContent-Length: 0\r\n\r\n");
+    }
+}
+
 /** One daemon and four servers. */
 struct Fixture
 {
@@ -80,3 +95,15 @@
         std::this_thread::sleep_for(50ms);
     BOOST_TEST(node.reportCount > 0);
 }
+
+BOOST_AUTO_TEST_CASE(anotherServerAtTheAddressSaysNothingAboutTheOneThatWasMeant)
+{
+    const ScriptedBackend other{answerAsOther};
+    TrafficNode node{"a1"};
+    node.setState(routingState({endpointOf(other.address())}));
+    for (int i = 0; i < 100 && node.counters.value(EntryCounter::AttemptsNotRun) == 0; ++i)
+        BOOST_TEST(node.send("/pay").status == 503);
+    BOOST_TEST(node.counters.value(EntryCounter::AttemptsNotRun) > 0U);
+    BOOST_TEST(node.counters.value(EntryCounter::ServersLeaving) == 0U);
+    BOOST_TEST(node.counters.value(EntryCounter::ServerBackoffs) == 0U);
+}
