Log the store's era, and the versions of whole reads and of expired history

Added, with decisions unchanged: store-era (and bulrush_store_era) from the field Store-Era, with or without the users' prefix; rows-read with the version read and the version known; known-version in store-history-gone.

--- a/src/libbulrushentry/storecalls.cpp
+++ b/src/libbulrushentry/storecalls.cpp
@@ -45,6 +45,17 @@
     ++count.calls;
     count.bytes += call.bytes;
     ++m_unlogged[key];
+    if (call.era && m_era != call.era)
+        recordEra(*call.era, call.table);
+}
+
+void StoreCalls::recordEra(std::uint64_t era, const std::string &table)
+{
+    io::logEvent(LogLevel::Info, "store-era",
+                 {{"era", std::to_string(era)},
+                  {"before", m_era ? std::to_string(*m_era) : "unknown"},
+                  {"table", table}});
+    m_era = era;
 }
 
 std::string StoreCalls::text() const
@@ -58,7 +69,9 @@
         bytes.append("bulrush_store_answer_bytes_total").append(labels);
         bytes.append(std::to_string(count.bytes)).append("\n");
     }
-    return calls + bytes;
+    const std::string era =
+        m_era ? "bulrush_store_era " + std::to_string(*m_era) + '\n' : std::string{};
+    return calls + bytes + era;
 }
 
 std::string StoreCalls::toLabels(const Key &key)
--- a/src/libbulrushentry/storecalls.h
+++ b/src/libbulrushentry/storecalls.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 
@@ -37,10 +38,13 @@
     using Key = std::tuple<std::string, std::string, std::string>;
 
     static std::string toLabels(const Key &key);
+    void recordEra(std::uint64_t era, const std::string &table);
 
     std::map<Key, Count> m_counts;
     /** The counts since the last log line. */
     std::map<Key, std::uint64_t> m_unlogged;
+    /** The era in the last answer that had one. */
+    std::optional<std::uint64_t> m_era;
 };
 
 } // namespace bulrush
--- a/src/libbulrushentry/tablefollower.cpp
+++ b/src/libbulrushentry/tablefollower.cpp
@@ -206,7 +206,9 @@
 void TableFollower::handleRowsResult(platform::RowsOutcome outcome, bool isComplete, Instant sentAt)
 {
     if (outcome.error == platform::StoreError::HistoryExpired) {
-        io::logEvent(LogLevel::Info, "store-history-gone", {{"table", m_table}});
+        io::logEvent(
+            LogLevel::Info, "store-history-gone",
+            {{"table", m_table}, {"known-version", std::to_string(m_rows.version())}});
         m_deps.plan.recordStoreAnswer();
         m_needsAllRows = true;
         readAllRows();
@@ -236,6 +238,12 @@
         io::logEvent(LogLevel::Error, "rows-unreadable",
                      {{"table", m_table}, {"count", std::to_string(outcome.skipped)}});
     const std::uint64_t storeVersion = outcome.version;
+    if (isComplete)
+        io::logEvent(LogLevel::Info, "rows-read",
+                     {{"table", m_table},
+                      {"version", std::to_string(outcome.version)},
+                      {"known-version", std::to_string(m_rows.version())},
+                      {"rows", std::to_string(outcome.rows.size())}});
     // The answer to an earlier call must not undo changes received from another source meanwhile.
     if (isComplete)
         m_rows.mergeLaterChanges(outcome);
