--- a/src/libbulrushentry/tablefollower.cpp
+++ b/src/libbulrushentry/tablefollower.cpp
@@ -206,9 +206,8 @@
 void TableFollower::handleRowsResult(platform::RowsOutcome outcome, bool isComplete, Instant sentAt)
 {
     if (outcome.error == platform::StoreError::HistoryExpired) {
-        io::logEvent(
-            LogLevel::Info, "store-history-gone",
-            {{"table", m_table}, {"known-version", std::to_string(m_rows.version())}});
+        io::logEvent(LogLevel::Info, "store-history-gone",
+                     {{"table", m_table}, {"known-version", std::to_string(m_rows.version())}});
         m_deps.plan.recordStoreAnswer();
         m_needsAllRows = true;
         readAllRows();
--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -77,23 +77,6 @@
     return text.data();
 }
 
-Json::Value recordJson(const ServerSpec &server, const std::string &address,
-                       const std::string &state)
-{
-    Json::Value value;
-    value["service"] = server.service;
-    value["address"] = address;
-    value["zone"] = server.domain;
-    value["version"] = "v1";
-    value["slots"] = server.slots;
-    value["state"] = state;
-    value["coldRemainingS"] = server.coldMs / 1000.0;
-    value["seq"] = 1;
-    if (server.startedAtMs > 0)
-        value["born"] = Json::Int64{server.startedAtMs};
-    return value;
-}
-
 } // namespace
 
 EntryFleet::EntryFleet(std::vector<std::string> hosts)
@@ -211,6 +194,23 @@
     writeRecordOf(m_serverSpecs.at(id), server(id).address(), state);
 }
 
+Json::Value EntryFleet::recordJson(const ServerSpec &server, const std::string &address,
+                                   const std::string &state)
+{
+    Json::Value value;
+    value["service"] = server.service;
+    value["address"] = address;
+    value["zone"] = server.domain;
+    value["version"] = "v1";
+    value["slots"] = server.slots;
+    value["state"] = state;
+    value["coldRemainingS"] = server.coldMs / 1000.0;
+    value["seq"] = m_nextRecordWrite++;
+    if (server.startedAtMs > 0)
+        value["born"] = Json::Int64{server.startedAtMs};
+    return value;
+}
+
 void EntryFleet::writeRecordOf(const ServerSpec &server, const std::string &address,
                                const std::string &state)
 {
@@ -373,6 +373,20 @@
     control(json);
 }
 
+void EntryFleet::keepStoreCopy()
+{
+    Json::Value json;
+    json["keepCopy"] = true;
+    control(json);
+}
+
+void EntryFleet::restoreStoreCopy()
+{
+    Json::Value json;
+    json["restoreCopy"] = true;
+    control(json);
+}
+
 void EntryFleet::loseFeedAnswer(const std::string &host, const std::string &table)
 {
     Json::Value json;
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -137,6 +137,13 @@
                        int delayWrites = 0);
     /** Deletes the change history of the store. */
     void dropHistory();
+    /** Makes the store keep a copy of its rows for restoreStoreCopy(). */
+    void keepStoreCopy();
+    /**
+     * Makes the store replace its rows by the copy. What was written since the copy is gone,
+     * versions are given out again, and the store's era rises by one.
+     */
+    void restoreStoreCopy();
 
     /** Makes the store drop its next answer to \a host's request for changes of \a table. */
     void loseFeedAnswer(const std::string &host, const std::string &table);
@@ -244,6 +251,8 @@
     void removeRow(const std::string &table, const std::string &key);
     Json::Value control(const Json::Value &json);
     Json::Value recordOf(ChildProcess &server);
+    Json::Value recordJson(const ServerSpec &server, const std::string &address,
+                           const std::string &state);
 
     std::vector<std::string> m_hosts;
     std::string m_folder;
@@ -258,6 +267,8 @@
     double m_coldRate = 0.0;
     std::chrono::milliseconds m_coldDuration{0};
     int m_version = 0;
+    /** Number of the next write of a server's record. */
+    int m_nextRecordWrite = 1;
     std::atomic<int> m_nextRequest{1};
     SyncHttpClient m_http;
 };
--- a/tests/standins/store/rowhistory.cpp
+++ b/tests/standins/store/rowhistory.cpp
@@ -47,7 +47,7 @@
 std::optional<std::vector<VersionedRow>> RowHistory::changes(std::string_view table,
                                                              std::uint64_t version) const
 {
-    if (version < m_historyStartVersion)
+    if (version < m_historyStartVersion || version > m_version)
         return std::nullopt;
     std::vector<VersionedRow> result;
     for (const VersionedRow &row : m_changes) {
--- a/tests/standins/store/rowhistory.h
+++ b/tests/standins/store/rowhistory.h
@@ -43,7 +43,10 @@
     /** \returns the rows of \a table whose key is \a from or greater, sorted by key. */
     std::vector<VersionedRow> rows(std::string_view table, std::string_view from) const;
 
-    /** \returns the changes of \a table after \a version, or nothing if their log was dropped. */
+    /**
+     * \returns the changes of \a table after \a version, or nothing if their log was dropped or
+     * there is no such version yet.
+     */
     std::optional<std::vector<VersionedRow>> changes(std::string_view table,
                                                      std::uint64_t version) const;
 
--- a/tests/standins/store/storeserver.cpp
+++ b/tests/standins/store/storeserver.cpp
@@ -105,6 +105,29 @@
     return m_listenerStates.back()->listener->address();
 }
 
+/** Sends \a answer with the store's era. */
+void StoreServer::send(const RequestHandle &request, Answer answer) const
+{
+    answer.headers.push_back({"Store-Era", std::to_string(m_era)});
+    Listener::send(request, answer);
+}
+
+/** Replaces all rows by the copy; requests that wait for changes lose their connections. */
+void StoreServer::restoreCopy()
+{
+    m_rows = m_copy;
+    ++m_era;
+    resetPendingFeeds();
+}
+
+void StoreServer::resetPendingFeeds()
+{
+    for (const std::shared_ptr<PendingRequest> &pending : std::exchange(m_pendingRequests, {})) {
+        if (pending->timer)
+            pending->state->listener->resetConnection(pending->request);
+    }
+}
+
 void StoreServer::serve(ListenerState &state, const RequestHandle &request)
 {
     const std::string path{request->header().path()};
@@ -122,7 +145,7 @@
     else if (path == "/api/rows-feed")
         followChanges(state, request);
     else
-        Listener::send(request, {404, {}, {}});
+        send(request, {404, {}, {}});
 }
 
 bool StoreServer::handleFaultMode(ListenerState &state, const RequestHandle &request)
@@ -132,10 +155,10 @@
     case StoreMode::NoChanges:
         return false;
     case StoreMode::Unavailable:
-        Listener::send(request, {503, {}, {}});
+        send(request, {503, {}, {}});
         return true;
     case StoreMode::TooManyRequests:
-        Listener::send(request, {429, {}, {}});
+        send(request, {429, {}, {}});
         return true;
     case StoreMode::Reset:
         state.listener->resetConnection(request);
@@ -153,7 +176,7 @@
 {
     const auto json = parsedJsonObject(request->body());
     if (!json) {
-        Listener::send(request, {400, {}, {}});
+        send(request, {400, {}, {}});
         return;
     }
     const auto apply = [this, json = *json] {
@@ -178,7 +201,7 @@
         state.listener->closeWithoutAnswer(request);
         return;
     }
-    Listener::send(request, answer);
+    send(request, answer);
 }
 
 void StoreServer::get(const ListenerState &state, const RequestHandle &request)
@@ -192,12 +215,12 @@
     Json::Value json = toJson(rows, m_rows.version());
     json["truncated"] = isTruncated;
     if (state.readTableToDelay != queryParameter(query, "table")) {
-        Listener::send(request, jsonAnswer(200, json));
+        send(request, jsonAnswer(200, json));
         return;
     }
     auto timer = std::make_shared<asio::steady_timer>(m_loop, state.delay);
-    timer->async_wait([timer, request, json](const asio::error_code &) {
-        Listener::send(request, jsonAnswer(200, json));
+    timer->async_wait([this, timer, request, json](const asio::error_code &) {
+        send(request, jsonAnswer(200, json));
     });
 }
 
@@ -261,14 +284,13 @@
 {
     const auto changes = m_rows.changes(pending.table, pending.afterVersion);
     if (!changes) {
-        Listener::send(pending.request, {410, {}, {}});
+        send(pending.request, {410, {}, {}});
         return;
     }
     const bool hidesChanges = pending.state->mode == StoreMode::NoChanges;
     const std::uint64_t version = hidesChanges ? pending.afterVersion : m_rows.version();
-    Listener::send(
-        pending.request,
-        jsonAnswer(200, toJson(hidesChanges ? std::vector<VersionedRow>{} : *changes, version)));
+    send(pending.request,
+         jsonAnswer(200, toJson(hidesChanges ? std::vector<VersionedRow>{} : *changes, version)));
 }
 
 Answer StoreServer::handleControl(std::string_view body)
@@ -292,12 +314,12 @@
         setFaults((*json)["faults"]);
     if ((*json)["dropHistory"].asBool()) {
         m_rows.dropHistory();
-        for (const std::shared_ptr<PendingRequest> &pending :
-             std::exchange(m_pendingRequests, {})) {
-            if (pending->timer)
-                pending->state->listener->resetConnection(pending->request);
-        }
+        resetPendingFeeds();
     }
+    if ((*json)["keepCopy"].asBool())
+        m_copy = m_rows;
+    if ((*json)["restoreCopy"].asBool())
+        restoreCopy();
     return jsonAnswer(200, countersJson());
 }
 
@@ -332,6 +354,7 @@
     for (const auto &state : m_listenerStates)
         json["calls"][state->name] = Json::UInt64{state->requestCount};
     json["rowVersion"] = Json::UInt64{m_rows.version()};
+    json["era"] = Json::UInt64{m_era};
     return json;
 }
 
--- a/tests/standins/store/storeserver.h
+++ b/tests/standins/store/storeserver.h
@@ -33,6 +33,8 @@
  *
  * Several listeners share one state. Each has its own fault settings, so that a test can cut off
  * individual hosts. `POST /_control` sets faults and writes rows in place of operators and servers.
+ * `"keepCopy": true` keeps a copy of all rows; `"restoreCopy": true` replaces the rows by that
+ * copy: versions go back to it and are given out again, and the era in all answers rises by one.
  *
  * Not thread safe: to be used on the event loop's thread only.
  */
@@ -74,6 +76,9 @@
     };
 
     void serve(ListenerState &state, const RequestHandle &request);
+    void send(const RequestHandle &request, Answer answer) const;
+    void restoreCopy();
+    void resetPendingFeeds();
     bool handleFaultMode(ListenerState &state, const RequestHandle &request);
     void transact(ListenerState &state, const RequestHandle &request);
     void get(const ListenerState &state, const RequestHandle &request);
@@ -87,6 +92,9 @@
 
     asio::io_context &m_loop;
     RowHistory m_rows;
+    /** The rows that a restore brings back. */
+    RowHistory m_copy;
+    std::uint64_t m_era = 1;
     std::vector<std::unique_ptr<ListenerState>> m_listenerStates;
     std::list<std::shared_ptr<PendingRequest>> m_pendingRequests;
 };
