--- a/src/libbulrush/process/crashrecord.h
+++ b/src/libbulrush/process/crashrecord.h
@@ -41,8 +41,8 @@
 };
 
 /**
- * Request to write this daemon's own row, on condition that the stored row still has the expected
- * version. Version 0 means that no row may exist.
+ * Request to write this daemon's own row, on condition that the version of the stored row still has
+ * the expected number. 0 means that no row may exist.
  */
 struct CrashRowWrite
 {
--- a/src/libbulrush/process/crashregistry.cpp
+++ b/src/libbulrush/process/crashregistry.cpp
@@ -72,7 +72,7 @@
     invalidate();
 }
 
-void CrashRegistry::applyRow(const HostName &host, std::uint64_t version,
+void CrashRegistry::applyRow(const HostName &host, const StoreVersion &version,
                              std::optional<CrashRow> row, Instant now)
 {
     if (host == m_self) {
@@ -92,12 +92,12 @@
     invalidate();
 }
 
-void CrashRegistry::applyOwnRow(std::uint64_t version, const std::optional<CrashRow> &row,
+void CrashRegistry::applyOwnRow(const StoreVersion &version, const std::optional<CrashRow> &row,
                                 Instant now)
 {
     if (version < m_ownVersion)
         return; // read before the last write
-    m_ownVersion = row ? version : 0;
+    m_ownVersion = row ? version : StoreVersion{};
     if (!row || std::exchange(m_hasOwnRow, true))
         return;
     // The reports of an earlier run of this daemon are still valid, and are already published.
@@ -138,7 +138,7 @@
     m_hasUnpublished = false;
     m_hasOwnRow = true;
     m_written = ownRow();
-    return CrashRowWrite{m_ownVersion, m_written};
+    return CrashRowWrite{m_ownVersion.number, m_written};
 }
 
 /** \returns whether an answer is due for publication that no other daemon has published yet. */
@@ -171,7 +171,7 @@
     return servers.size();
 }
 
-void CrashRegistry::handleWriteResult(RowWriteResult end, std::uint64_t version, Instant now)
+void CrashRegistry::handleWriteResult(RowWriteResult end, const StoreVersion &version, Instant now)
 {
     m_isWriting = false;
     if (end == RowWriteResult::Done) {
--- a/src/libbulrush/process/crashregistry.h
+++ b/src/libbulrush/process/crashregistry.h
@@ -5,6 +5,7 @@
 #include "process/plannerlease.h"
 #include "process/quarantine.h"
 #include "process/retrybackoff.h"
+#include "process/storeversion.h"
 #include "process/suspectprobes.h"
 
 #include <cstddef>
@@ -75,7 +76,7 @@
     bool lift(const RequestFingerprint &request);
 
     /** Applies the row of \a host as of \a version of the store; no value if there is no row. */
-    void applyRow(const HostName &host, std::uint64_t version, std::optional<CrashRow> row,
+    void applyRow(const HostName &host, const StoreVersion &version, std::optional<CrashRow> row,
                   Instant now);
 
     /** Sets the daemons that have rows of any kind. */
@@ -91,7 +92,7 @@
     std::optional<CrashRowWrite> startDueWrite(Instant now);
 
     /** Handles the result of the last write. \pre a write from startDueWrite() has no result yet */
-    void handleWriteResult(RowWriteResult end, std::uint64_t version, Instant now);
+    void handleWriteResult(RowWriteResult end, const StoreVersion &version, Instant now);
 
     /** \returns the quarantine if it differs from that of the last call, or null. */
     std::shared_ptr<const Quarantine> takeUpdate(Instant now);
@@ -105,7 +106,7 @@
 
     struct OtherRow
     {
-        std::uint64_t version = 0;
+        StoreVersion version;
         CrashRow row;
         Instant receivedAt;
     };
@@ -113,7 +114,7 @@
     using Suspects = Quarantine::Suspects;
     using Retracted = std::set<std::pair<RequestFingerprint, ServerName>>;
 
-    void applyOwnRow(std::uint64_t version, const std::optional<CrashRow> &row, Instant now);
+    void applyOwnRow(const StoreVersion &version, const std::optional<CrashRow> &row, Instant now);
     bool retractSuspect(const RequestFingerprint &request);
     void retract(const RequestFingerprint &request, const std::vector<ServerName> &servers);
     bool isPublicationDue(Instant now);
@@ -137,8 +138,8 @@
     CrashRow m_written;
     /** When to publish the answers to requests, unless another daemon publishes them before. */
     std::map<RequestFingerprint, Instant> m_publishAt;
-    /** Version of this daemon's own row; 0 if there is none. */
-    std::uint64_t m_ownVersion = 0;
+    /** Version of this daemon's own row; number 0 if there is none. */
+    StoreVersion m_ownVersion;
     RetryBackoff m_pause;
     /** There are changes that this daemon's row does not contain yet. */
     bool m_hasUnpublished = false;
--- a/src/libbulrush/process/keyaction.h
+++ b/src/libbulrush/process/keyaction.h
@@ -6,6 +6,7 @@
 #include "version/keyassignment.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -22,7 +23,7 @@
 struct CommitKeyAssignment
 {
     KeyAssignment next;
-    /** Version of the assignment's row; 0: no such row exists. */
+    /** Number of the version of the assignment's row; 0: no such row exists. */
     std::uint64_t expectedVersion = 0;
     std::uint64_t plannerVersion = 0;
 };
@@ -56,6 +57,14 @@
     bool isBehind = false;
 };
 
+/** Ask a daemon for the assignments that it remembers, as the store was restored. */
+struct QueryAssignments
+{
+    Renewer renewer;
+    /** The sequences of the assignments known here; only later ones are needed. */
+    std::map<ServiceName, std::uint64_t> known;
+};
+
 /** Write this daemon's own row if it has the expected version; without \a row, remove it. */
 struct WriteDaemonRow
 {
@@ -82,6 +91,6 @@
 
 /** An action of a daemon in the assignment of keys. */
 using KeyAction = std::variant<WritePlannerRow, CommitKeyAssignment, SendGrant, SendRelease,
-                               QueryRenewer, WriteDaemonRow, RemoveDaemonRows>;
+                               QueryRenewer, QueryAssignments, WriteDaemonRow, RemoveDaemonRows>;
 
 } // namespace bulrush
--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -23,28 +23,42 @@
     , m_renewal(self.domain, start, timings)
     , m_renewers(timings)
     , m_grants(start, timings.grantCall)
+    , m_recovery(timings)
+    , m_start(start)
     , m_registerBackoff(registerRetryDelay, maxRegisterBackoff, self.host.value())
     , m_removeBackoff(removeRetryDelay, maxRemoveBackoff, self.host.value())
 { }
 
-void KeyCoordinator::applyPlannerRow(std::uint64_t version, const PlannerRow &row, Instant now)
+void KeyCoordinator::applyPlannerRow(const StoreVersion &version, const PlannerRow &row,
+                                     Instant now)
 {
     m_lease.applyRow(version, row, now);
 }
 
-bool KeyCoordinator::applyAssignment(const KeyAssignment &assignment, std::uint64_t version,
+bool KeyCoordinator::applyAssignment(const KeyAssignment &assignment, const StoreVersion &version,
                                      Instant now)
 {
     StoredAssignment &stored = m_assignments[assignment.service];
     if (version <= stored.version)
         return false;
-    stored = {assignment, version};
+    stored.version = version;
+    stored.isConfirmed =
+        assignment.era == version.era && assignment.sequence >= stored.assignment.sequence;
+    return adopt(stored, assignment, now);
+}
+
+/** Replaces the known assignment by \a assignment if that is later. \returns whether it is. */
+bool KeyCoordinator::adopt(StoredAssignment &stored, const KeyAssignment &assignment, Instant now)
+{
+    if (assignment.sequence <= stored.assignment.sequence)
+        return false;
+    stored.assignment = assignment;
     m_renewal.setAssignment(assignment);
-    m_moves.setAssignment(assignment, version, now);
+    m_moves.setAssignment(assignment, stored.version, now);
     return true;
 }
 
-void KeyCoordinator::applyDaemonRow(const HostName &host, std::uint64_t version,
+void KeyCoordinator::applyDaemonRow(const HostName &host, const StoreVersion &version,
                                     const std::optional<DaemonRow> &row, Instant now)
 {
     if (row)
@@ -54,28 +68,55 @@
     if (host != m_self.host || m_isRegistering)
         return;
     const bool isOwn = row && row->incarnation == m_self.incarnation;
-    m_ownVersion = isOwn ? version : 0;
+    m_ownVersion = isOwn ? version : StoreVersion{};
 }
 
-void KeyCoordinator::markRowsApplied(std::uint64_t version)
+void KeyCoordinator::markRowsApplied(const StoreVersion &version)
 {
+    if (m_hasRows && version.era > m_appliedVersion.era)
+        enterEra(version.era);
     m_hasRows = true;
     m_appliedVersion = std::max(m_appliedVersion, version);
+    if (areAssignmentsConfirmed() && m_lease.version() > m_confirmedPlannerVersion) {
+        m_confirmedPlanner = m_lease.row().holder;
+        m_confirmedPlannerVersion = m_lease.version();
+    }
+}
+
+/** Handles that the store was restored, and that all of its rows have been applied since. */
+void KeyCoordinator::enterEra(std::uint64_t era)
+{
+    for (auto &[service, stored] : m_assignments) {
+        if (stored.version.era >= era)
+            continue;
+        // The copy has no row of this service.
+        stored.version = {era, 0};
+        stored.isConfirmed = false;
+    }
+    if (m_ownVersion.era < era)
+        m_ownVersion = {};
+}
+
+bool KeyCoordinator::areAssignmentsConfirmed() const
+{
+    return std::ranges::all_of(m_assignments,
+                               [](const auto &entry) { return entry.second.isConfirmed; });
 }
 
 void KeyCoordinator::recordStoreAnswer(Instant givenAt)
 {
-    m_renewal.recordStoreAnswer(givenAt);
+    if (areAssignmentsConfirmed())
+        m_renewal.recordStoreAnswer(givenAt);
 }
 
-void KeyCoordinator::handlePlannerRowResult(RowWriteResult result, std::uint64_t version,
+void KeyCoordinator::handlePlannerRowResult(RowWriteResult result, const StoreVersion &version,
                                             Instant now)
 {
     m_lease.handleWriteResult(result, version, now);
 }
 
 bool KeyCoordinator::handleCommitResult(const KeyAssignment &next, RowWriteResult result,
-                                        std::uint64_t version, Instant now)
+                                        const StoreVersion &version, Instant now)
 {
     m_committing.erase(next.service);
     // The commit failed or may have been carried out: plan again from the row that the store feed
@@ -130,7 +171,7 @@
     m_grants.recordResult(grant.owned.owner, mayHaveArrived, now);
 }
 
-void KeyCoordinator::handleDaemonRowResult(RowWriteResult result, std::uint64_t version,
+void KeyCoordinator::handleDaemonRowResult(RowWriteResult result, const StoreVersion &version,
                                            Instant now)
 {
     m_isRegistering = false;
@@ -139,7 +180,8 @@
         return;
     }
     m_registerBackoff.succeeded();
-    if (!m_isLeaving)
+    // A restore of the store may have undone a write of an earlier era.
+    if (!m_isLeaving && version.era >= m_appliedVersion.era)
         m_ownVersion = version;
 }
 
@@ -220,7 +262,9 @@
     if (auto registration = dueRegistration(now))
         actions.emplace_back(std::move(*registration));
     updatePlanning(now);
-    if (m_isPlanning)
+    if (m_isPlanning && !areAssignmentsConfirmed())
+        addRecoveryActions(now, actions);
+    else if (m_isPlanning)
         addPlannerActions(servers, keyed, now, actions);
     if (isRegistered()) {
         for (SendGrant &grant : m_renewal.due(servers, now))
@@ -232,22 +276,22 @@
 /** A daemon renews only while it has a row, and once it has applied all rows up to that version. */
 bool KeyCoordinator::isRegistered() const
 {
-    return !m_isLeaving && m_ownVersion > 0 && m_appliedVersion >= m_ownVersion;
+    return !m_isLeaving && m_ownVersion.number > 0 && m_appliedVersion >= m_ownVersion;
 }
 
 std::optional<WriteDaemonRow> KeyCoordinator::dueRegistration(Instant now)
 {
-    if (!m_hasRows || m_isRegistering || (m_ownVersion > 0) != m_isLeaving)
+    if (!m_hasRows || m_isRegistering || (m_ownVersion.number > 0) != m_isLeaving)
         return std::nullopt;
     if (!m_registerBackoff.isOver(now))
         return std::nullopt;
     m_isRegistering = true;
     if (m_isLeaving)
-        return WriteDaemonRow{std::exchange(m_ownVersion, 0), std::nullopt};
+        return WriteDaemonRow{std::exchange(m_ownVersion, {}).number, std::nullopt};
     // A removed row stays in the registry for a while, but cannot be replaced.
     const auto known = m_renewers.renewers().find(m_self.host);
     const bool hasRow = known != m_renewers.renewers().end() && !known->second.removedSince;
-    return WriteDaemonRow{hasRow ? known->second.version : 0,
+    return WriteDaemonRow{hasRow ? known->second.version.number : 0,
                           DaemonRow{m_self.incarnation, m_self.address, m_self.domain,
                                     m_self.processors, m_self.relayAddress}};
 }
@@ -259,10 +303,10 @@
     // A removal is conditional on the row version of the lease, which a renewal in flight changes.
     if (m_isRemoving || m_lease.isWriting() || !m_removeBackoff.isOver(now))
         return std::nullopt;
-    RemoveDaemonRows removal{{}, m_lease.version()};
+    RemoveDaemonRows removal{{}, m_lease.version().number};
     for (const Renewer &lost : m_renewers.lost(now)) {
         if (removal.rows.size() < maxRowsPerRemoval)
-            removal.rows.push_back({lost.host, lost.version});
+            removal.rows.push_back({lost.host, lost.version.number});
     }
     if (removal.rows.empty())
         return std::nullopt;
@@ -297,8 +341,77 @@
         if (!next)
             continue;
         m_committing.insert(service);
-        actions.emplace_back(
-            CommitKeyAssignment{std::move(*next), assignmentVersion(service), m_lease.version()});
+        actions.emplace_back(commitOf(std::move(*next)));
+    }
+}
+
+CommitKeyAssignment KeyCoordinator::commitOf(KeyAssignment next) const
+{
+    next.era = m_lease.version().era;
+    const std::uint64_t expected = assignmentVersion(next.service).number;
+    return {std::move(next), expected, m_lease.version().number};
+}
+
+/** Writes the assignments again that a restored store lacks, once the latest ones are known. */
+void KeyCoordinator::addRecoveryActions(Instant now, std::vector<KeyAction> &actions)
+{
+    std::map<ServiceName, std::uint64_t> known;
+    for (const auto &[service, stored] : m_assignments)
+        known[service] = stored.assignment.sequence;
+    for (Renewer &renewer : m_recovery.dueQueries(m_renewers, now)) {
+        if (renewer.host == m_self.host)
+            recordRemembered(remembered(known, now), now);
+        else
+            actions.emplace_back(QueryAssignments{std::move(renewer), known});
+    }
+    const EraRecovery::Step step = m_recovery.step(m_renewers, now);
+    if (step == EraRecovery::Step::Wait)
+        return;
+    for (const auto &[service, stored] : m_assignments) {
+        if (stored.isConfirmed || !mayCommit(service, now))
+            continue;
+        m_committing.insert(service);
+        actions.emplace_back(commitOf(recoveredAssignment(stored.assignment, step)));
+    }
+}
+
+KeyAssignment KeyCoordinator::recoveredAssignment(const KeyAssignment &latest,
+                                                  EraRecovery::Step step) const
+{
+    KeyAssignment next = latest;
+    next.sequence = firstSequenceOf(m_lease.version().era, latest);
+    if (step != EraRecovery::Step::RaiseFences)
+        return next;
+    // Servers may have seen the fencing tokens of an unknown assignment, and refuse lower ones.
+    for (OwnedRange &owned : next.ranges)
+        owned.fence = next.sequence;
+    return next;
+}
+
+RememberedAssignments KeyCoordinator::remembered(const std::map<ServiceName, std::uint64_t> &known,
+                                                 Instant now) const
+{
+    RememberedAssignments answer{m_self.host,        m_self.incarnation,        now - m_start,
+                                 m_confirmedPlanner, m_confirmedPlannerVersion, {}};
+    for (const auto &[service, stored] : m_assignments) {
+        const auto sequence = known.find(service);
+        if (sequence == known.end() || stored.assignment.sequence > sequence->second)
+            answer.assignments.push_back(stored.assignment);
+    }
+    return answer;
+}
+
+void KeyCoordinator::recordRemembered(const RememberedAssignments &answer, Instant now)
+{
+    if (!m_isPlanning || areAssignmentsConfirmed())
+        return;
+    m_recovery.recordAnswer(answer, now);
+    for (const KeyAssignment &assignment : answer.assignments) {
+        const auto [place, isNew] = m_assignments.try_emplace(assignment.service);
+        if (isNew)
+            place->second.version = {m_appliedVersion.era, 0};
+        if (adopt(place->second, assignment, now))
+            place->second.isConfirmed = false;
     }
 }
 
@@ -321,21 +434,24 @@
     return stored == m_assignments.end() ? nullptr : &stored->second.assignment;
 }
 
-std::uint64_t KeyCoordinator::assignmentVersion(const ServiceName &service) const
+StoreVersion KeyCoordinator::assignmentVersion(const ServiceName &service) const
 {
     const auto stored = m_assignments.find(service);
-    return stored == m_assignments.end() ? 0 : stored->second.version;
+    return stored == m_assignments.end() ? StoreVersion{} : stored->second.version;
 }
 
 void KeyCoordinator::updatePlanning(Instant now)
 {
-    const bool isHeld = m_hasRows && m_lease.isHeld(now);
+    // Rows of an earlier era do not show what the store holds since it was restored.
+    const bool isCurrent = m_hasRows && m_lease.version().era == m_appliedVersion.era;
+    const bool isHeld = isCurrent && m_lease.isHeld(now);
     if (std::exchange(m_isPlanning, isHeld) == isHeld)
         return;
     m_renewal.setPlanner(isHeld);
     m_plannedAt = {};
     m_loads.clear();
     m_renewers.clearAnswers();
+    m_recovery.begin(now);
     // Restart all waits for previous owners: it is unknown how long an earlier planner has waited.
     m_moves.clear();
     for (const auto &[service, stored] : m_assignments)
--- a/src/libbulrush/process/keycoordinator.h
+++ b/src/libbulrush/process/keycoordinator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/erarecovery.h"
 #include "process/grantlog.h"
 #include "process/keyaction.h"
 #include "process/keymoves.h"
@@ -114,29 +115,35 @@
     KeyCoordinator(const DaemonIdentity &self, Instant start, const KeyTimings &timings = {});
 
     /** Applies the planner's row; version 0 and an empty row mean that there is none. */
-    void applyPlannerRow(std::uint64_t version, const PlannerRow &row, Instant now);
+    void applyPlannerRow(const StoreVersion &version, const PlannerRow &row, Instant now);
 
-    /** Applies the row of an assignment. \returns whether it is newer than the stored one. */
-    bool applyAssignment(const KeyAssignment &assignment, std::uint64_t version, Instant now);
+    /**
+     * Applies the row of an assignment. \returns whether the assignment is later than the known
+     * one: a row that the store restored from an older copy is not.
+     */
+    bool applyAssignment(const KeyAssignment &assignment, const StoreVersion &version, Instant now);
 
     /** Applies the row of a daemon; \a row is empty if the daemon no longer has one. */
-    void applyDaemonRow(const HostName &host, std::uint64_t version,
+    void applyDaemonRow(const HostName &host, const StoreVersion &version,
                         const std::optional<DaemonRow> &row, Instant now);
 
-    /** Records that all rows up to \a version of the store have been applied. */
-    void markRowsApplied(std::uint64_t version);
+    /**
+     * Records that all rows up to \a version of the store have been applied. If it is of a later
+     * era than before, the complete table has been applied.
+     */
+    void markRowsApplied(const StoreVersion &version);
 
     /** Records that the store confirmed, at \a givenAt or later, that the rows are unchanged. */
     void recordStoreAnswer(Instant givenAt);
 
     /** Handles the result of a WritePlannerRow. */
-    void handlePlannerRowResult(RowWriteResult result, std::uint64_t version, Instant now);
+    void handlePlannerRowResult(RowWriteResult result, const StoreVersion &version, Instant now);
 
     /**
      * Handles the result of the CommitKeyAssignment of \a next. \returns whether it is in force.
      */
-    bool handleCommitResult(const KeyAssignment &next, RowWriteResult result, std::uint64_t version,
-                            Instant now);
+    bool handleCommitResult(const KeyAssignment &next, RowWriteResult result,
+                            const StoreVersion &version, Instant now);
 
     /** Records that the previous owner has released a range. */
     void released(const SendRelease &release, std::string handover, Instant now);
@@ -164,7 +171,7 @@
     void recordConnectionReset(const ServerName &server);
 
     /** Handles the result of a WriteDaemonRow. */
-    void handleDaemonRowResult(RowWriteResult result, std::uint64_t version, Instant now);
+    void handleDaemonRowResult(RowWriteResult result, const StoreVersion &version, Instant now);
 
     /** Handles the result of a RemoveDaemonRows. */
     void handleRemovalResult(RowWriteResult result, Instant now);
@@ -213,9 +220,25 @@
     /** \returns whether this daemon is the planner. */
     bool isPlanning() const;
 
-    /** \returns the stored assignment of \a service, or null; and its version, or 0. */
+    /**
+     * \returns the latest known assignment of \a service, or null; and the version of its row, the
+     * lowest version if there is no row.
+     */
     const KeyAssignment *assignment(const ServiceName &service) const;
-    std::uint64_t assignmentVersion(const ServiceName &service) const;
+    StoreVersion assignmentVersion(const ServiceName &service) const;
+
+    /** \returns the assignments known here that are later than \a known, for a planner. */
+    RememberedAssignments remembered(const std::map<ServiceName, std::uint64_t> &known,
+                                     Instant now) const;
+
+    /** Records the answer to a QueryAssignments, which arrived at \a now. */
+    void recordRemembered(const RememberedAssignments &answer, Instant now);
+
+    /**
+     * \returns whether the store has all known assignments, so that its answers confirm them. Not
+     * after a restore, until a planner has written them again.
+     */
+    bool areAssignmentsConfirmed() const;
 
     /** \returns the daemons that have rows. */
     const RenewerRegistry &renewers() const;
@@ -223,13 +246,21 @@
     const PlannerLease &lease() const;
 
 private:
-    /** An assignment and the version of its row. */
+    /** The latest known assignment of a service, and its row. */
     struct StoredAssignment
     {
         KeyAssignment assignment;
-        std::uint64_t version = 0;
+        /** The version of the row. */
+        StoreVersion version;
+        /** The row has this assignment, committed in the row's era. */
+        bool isConfirmed = false;
     };
 
+    void enterEra(std::uint64_t era);
+    bool adopt(StoredAssignment &stored, const KeyAssignment &assignment, Instant now);
+    void addRecoveryActions(Instant now, std::vector<KeyAction> &actions);
+    KeyAssignment recoveredAssignment(const KeyAssignment &latest, EraRecovery::Step step) const;
+    CommitKeyAssignment commitOf(KeyAssignment next) const;
     void updatePlanning(Instant now);
     bool mayCommit(const ServiceName &service, Instant now) const;
     bool isRegistered() const;
@@ -261,9 +292,14 @@
     std::vector<KeyShares> m_keyShares;
     Instant m_keySharesAt;
     /** Version of the store up to which all rows have been applied. */
-    std::uint64_t m_appliedVersion = 0;
-    /** Version of this daemon's own row; 0 while no such row is known. */
-    std::uint64_t m_ownVersion = 0;
+    StoreVersion m_appliedVersion;
+    /** Version of this daemon's own row; number 0 while no such row is known. */
+    StoreVersion m_ownVersion;
+    EraRecovery m_recovery;
+    /** The planner when the store last had all assignments, and the version of its row. */
+    Incarnation m_confirmedPlanner;
+    StoreVersion m_confirmedPlannerVersion;
+    Instant m_start;
     RetryBackoff m_registerBackoff;
     bool m_isRegistering = false;
     RetryBackoff m_removeBackoff;
--- a/src/libbulrush/process/keymoves.cpp
+++ b/src/libbulrush/process/keymoves.cpp
@@ -6,7 +6,8 @@
 
 namespace bulrush {
 
-void KeyMoves::setAssignment(const KeyAssignment &assignment, std::uint64_t version, Instant now)
+void KeyMoves::setAssignment(const KeyAssignment &assignment, const StoreVersion &version,
+                             Instant now)
 {
     std::map<MoveKey, Move> moves;
     for (const OwnedRange &owned : assignment.ranges) {
@@ -102,7 +103,8 @@
 std::optional<KeyAssignment> KeyMoves::settled(const ServiceName &service,
                                                const ServerDirectory &servers,
                                                const RenewerRegistry &renewers,
-                                               std::uint64_t appliedVersion, Instant now) const
+                                               const StoreVersion &appliedVersion,
+                                               Instant now) const
 {
     const auto assignment = m_assignments.find(service);
     if (assignment == m_assignments.end())
@@ -138,7 +140,7 @@
 std::optional<Instant> KeyMoves::settledSince(const Move &move, const ServiceName &service,
                                               const OwnedRange &owned,
                                               const RenewerRegistry &renewers,
-                                              std::uint64_t appliedVersion, Instant now)
+                                              const StoreVersion &appliedVersion, Instant now)
 {
     if (move.handover)
         return move.releasedAt;
--- a/src/libbulrush/process/keymoves.h
+++ b/src/libbulrush/process/keymoves.h
@@ -36,7 +36,7 @@
     static constexpr Duration ownerTimeout = std::chrono::milliseconds{250};
 
     /** Applies the assignment in force, committed as \a version, which arrived at \a now. */
-    void setAssignment(const KeyAssignment &assignment, std::uint64_t version, Instant now);
+    void setAssignment(const KeyAssignment &assignment, const StoreVersion &version, Instant now);
 
     /** Removes all entries; for when this daemon stops planning. */
     void clear();
@@ -62,13 +62,13 @@
      */
     std::optional<KeyAssignment> settled(const ServiceName &service, const ServerDirectory &servers,
                                          const RenewerRegistry &renewers,
-                                         std::uint64_t appliedVersion, Instant now) const;
+                                         const StoreVersion &appliedVersion, Instant now) const;
 
 private:
     struct Move
     {
         /** Version of the assignment that took the range from its previous owner. */
-        std::uint64_t version = 0;
+        StoreVersion version;
         /** The commit of that assignment was not later than this. */
         Instant committedAt;
         std::optional<Instant> releaseSentAt;
@@ -83,7 +83,7 @@
     static std::optional<Instant> settledSince(const Move &move, const ServiceName &service,
                                                const OwnedRange &owned,
                                                const RenewerRegistry &renewers,
-                                               std::uint64_t appliedVersion, Instant now);
+                                               const StoreVersion &appliedVersion, Instant now);
 
     std::map<ServiceName, KeyAssignment> m_assignments;
     std::map<MoveKey, Move> m_moves;
--- a/src/libbulrush/process/plannerlease.cpp
+++ b/src/libbulrush/process/plannerlease.cpp
@@ -31,22 +31,25 @@
     , m_takeoverDelay(takeoverDelay)
 { }
 
-void PlannerLease::applyRow(std::uint64_t version, const PlannerRow &row, Instant now)
+void PlannerLease::applyRow(const StoreVersion &version, const PlannerRow &row, Instant now)
 {
     if (m_isRowKnown && version <= m_version)
         return;
+    const bool isRestored = m_isRowKnown && version.era > m_version.era;
+    m_isReclaiming = isRestored && m_row.holder == m_self;
     m_isRowKnown = true;
     m_version = version;
     m_row = row;
     m_changedAt = now;
-    if (row.holder != m_self)
+    if (row.holder != m_self || isRestored)
         m_renewedAt.reset();
     // The row shows that a write whose answer was lost was done. It was sent at m_sentAt or later.
     else if (m_pending && m_pending->row == row)
         m_renewedAt = m_sentAt;
 }
 
-void PlannerLease::handleWriteResult(RowWriteResult result, std::uint64_t version, Instant now)
+void PlannerLease::handleWriteResult(RowWriteResult result, const StoreVersion &version,
+                                     Instant now)
 {
     const std::optional<PlannerRowWrite> write = std::exchange(m_pending, std::nullopt);
     if (result != RowWriteResult::Done)
@@ -54,6 +57,7 @@
     if (!write || result != RowWriteResult::Done)
         return;
     if (version > m_version) {
+        m_isReclaiming = false;
         m_version = version;
         m_row = write->row;
         m_changedAt = now;
@@ -69,7 +73,7 @@
     PlannerRow next{m_self, m_address, m_row.renewals + 1};
     if (isGivingUp())
         next.holder = {};
-    m_pending = PlannerRowWrite{m_version, next};
+    m_pending = PlannerRowWrite{m_version.number, next};
     m_sentAt = now;
     return m_pending;
 }
@@ -84,6 +88,8 @@
 {
     if (isGivingUp())
         return m_row.holder == m_self;
+    if (m_isReclaiming)
+        return true;
     if (m_row.holder == m_self)
         return now - m_changedAt >= renewalInterval;
     if (m_row.holder.isEmpty())
--- a/src/libbulrush/process/plannerlease.h
+++ b/src/libbulrush/process/plannerlease.h
@@ -2,6 +2,7 @@
 
 #include "process/clock.h"
 #include "process/endpoint.h"
+#include "process/storeversion.h"
 #include "version/identifier.h"
 
 #include <cstdint>
@@ -25,7 +26,7 @@
 /** A conditional write of the row. */
 struct PlannerRowWrite
 {
-    /** The write is done only if the row has this version; 0: if there is no row. */
+    /** The write is done only if the row's version has this number; 0: if there is no row. */
     std::uint64_t expectedVersion = 0;
     PlannerRow row;
 
@@ -45,6 +46,10 @@
  * comes from the commits, which are conditional on the version of this row: a planner that has lost
  * the lease cannot commit.
  *
+ * A row that the store restored from an older copy names an earlier holder or an earlier renewal.
+ * The last holder then claims the lease at once, so that others need not wait for the takeover
+ * timeout.
+ *
  * Not thread safe. Instants never decrease.
  */
 class PlannerLease
@@ -67,10 +72,10 @@
     PlannerLease(Incarnation self, Endpoint address, Duration takeoverDelay);
 
     /** Applies the row as of \a version; 0 and an empty row mean that there is none. */
-    void applyRow(std::uint64_t version, const PlannerRow &row, Instant now);
+    void applyRow(const StoreVersion &version, const PlannerRow &row, Instant now);
 
     /** Handles the result of the write that advance() returned. */
-    void handleWriteResult(RowWriteResult result, std::uint64_t version, Instant now);
+    void handleWriteResult(RowWriteResult result, const StoreVersion &version, Instant now);
 
     /** \returns the write to send now, if any; none is due until the result of the last arrives. */
     std::optional<PlannerRowWrite> advance(Instant now);
@@ -94,7 +99,7 @@
     const PlannerRow &row() const;
 
     /** \returns the version of the row on which this daemon's commits are conditional. */
-    std::uint64_t version() const;
+    const StoreVersion &version() const;
 
 private:
     bool isGivingUp() const;
@@ -104,8 +109,10 @@
     Endpoint m_address;
     Duration m_takeoverDelay;
     bool m_isRowKnown = false;
-    std::uint64_t m_version = 0;
+    StoreVersion m_version;
     PlannerRow m_row;
+    /** This daemon held the lease when the store was restored, and has not written since. */
+    bool m_isReclaiming = false;
     Instant m_changedAt;
     /** Send time of the last renewal that is known to be done. */
     std::optional<Instant> m_renewedAt;
@@ -142,7 +149,7 @@
     return m_row;
 }
 
-inline std::uint64_t PlannerLease::version() const
+inline const StoreVersion &PlannerLease::version() const
 {
     return m_version;
 }
--- a/src/libbulrush/process/readerchoice.h
+++ b/src/libbulrush/process/readerchoice.h
@@ -21,7 +21,7 @@
     /** CPU capacity of its host, in cores. */
     double processors = 1.0;
     /** Version of its row; the daemon that registered first has the lowest. */
-    std::uint64_t version = 0;
+    StoreVersion version;
 };
 
 /** How a request for rows to another daemon failed. */
--- a/src/libbulrush/process/renewerregistry.cpp
+++ b/src/libbulrush/process/renewerregistry.cpp
@@ -9,7 +9,8 @@
     : m_timings(timings)
 { }
 
-void RenewerRegistry::applyRow(const HostName &host, const DaemonRow &row, std::uint64_t version)
+void RenewerRegistry::applyRow(const HostName &host, const DaemonRow &row,
+                               const StoreVersion &version)
 {
     m_renewers[host] = {host, row, version, std::nullopt, std::nullopt};
 }
--- a/src/libbulrush/process/renewerregistry.h
+++ b/src/libbulrush/process/renewerregistry.h
@@ -3,6 +3,7 @@
 #include "process/clock.h"
 #include "process/endpoint.h"
 #include "process/keytimings.h"
+#include "process/storeversion.h"
 #include "version/identifier.h"
 
 #include <cstdint>
@@ -34,7 +35,7 @@
 {
     HostName host;
     DaemonRow row;
-    std::uint64_t version = 0;
+    StoreVersion version;
     /** Set once its row is removed, which the daemon itself may not have received yet. */
     std::optional<Instant> removedSince;
     /** Time of the first query since its last answer, if there is one. */
@@ -87,7 +88,7 @@
     explicit RenewerRegistry(const KeyTimings &timings);
 
     /** Applies the row of \a host. */
-    void applyRow(const HostName &host, const DaemonRow &row, std::uint64_t version);
+    void applyRow(const HostName &host, const DaemonRow &row, const StoreVersion &version);
 
     /** Applies the removal of the row of \a host; the daemon is still considered for a while. */
     void applyRowRemoval(const HostName &host, Instant now);
--- a/src/libbulrush/process/storeclock.cpp
+++ b/src/libbulrush/process/storeclock.cpp
@@ -1,11 +1,15 @@
 #include "process/storeclock.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrush {
 
-Instant StoreClock::givenAt(Instant sentAt, Instant receivedAt, Duration storeTime)
+Instant StoreClock::givenAt(Instant sentAt, Instant receivedAt, Duration storeTime,
+                            std::uint64_t era)
 {
+    if (std::exchange(m_era, era) != era)
+        m_best.reset();
     const Bound own{sentAt.time_since_epoch() - storeTime - resolution, sentAt};
     if (!m_best)
         m_best = own;
--- a/src/libbulrush/process/storeclock.h
+++ b/src/libbulrush/process/storeclock.h
@@ -2,6 +2,7 @@
 
 #include "process/clock.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace bulrush {
@@ -24,9 +25,10 @@
     /**
      * \returns a lower bound of the instant at which an answer was given: not before \a sentAt, and
      * as late as the known bounds allow. Its call was sent at \a sentAt. The answer was given at
-     * \a storeTime of the store's clock, and arrived at \a receivedAt.
+     * \a storeTime of the store's clock in \a era, and arrived at \a receivedAt. A store that was
+     * restored may have another clock.
      */
-    Instant givenAt(Instant sentAt, Instant receivedAt, Duration storeTime);
+    Instant givenAt(Instant sentAt, Instant receivedAt, Duration storeTime, std::uint64_t era);
 
 private:
     /** A reading of the store's clock was taken at or after the local instant reading + offset. */
@@ -37,6 +39,8 @@
     };
 
     std::optional<Bound> m_best;
+    /** The era of the answers that gave this bound. */
+    std::uint64_t m_era = 0;
 };
 
 } // namespace bulrush
--- a/src/libbulrush/version/keyassignment.h
+++ b/src/libbulrush/version/keyassignment.h
@@ -59,6 +59,11 @@
     std::uint64_t sequence = 0;
     /** Disjoint and sorted; cover the complete key space unless there was no server. */
     std::vector<OwnedRange> ranges;
+    /**
+     * The store's era in which it was committed. In a later era the store may lack assignments that
+     * were committed after this one.
+     */
+    std::uint64_t era = 0;
 
     bool operator==(const KeyAssignment &) const = default;
 
--- a/src/libbulrushentry/entrypages.cpp
+++ b/src/libbulrushentry/entrypages.cpp
@@ -1,6 +1,7 @@
 #include "entrypages.h"
 
 #include "connection/httpstatus.h"
+#include "platform/tables.h"
 #include "process/evacuationreport.h"
 #include "process/hostclock.h"
 #include "process/logging.h"
@@ -181,8 +182,25 @@
     text += std::string{"planner: "} + (m_sources.keys.isPlanning() ? "yes" : "no") + '\n';
     text += std::string{"store: "} + (m_sources.keys.isStoreReached() ? "reached" : "lost") + '\n';
     text += std::string{"rows: "} + (m_sources.keys.areRowsFollowed() ? "followed" : "lost") + '\n';
+    text += versionsText();
+    text += std::string{"assignments: "}
+        + (m_sources.keys.areAssignmentsConfirmed() ? "confirmed" : "unconfirmed") + '\n';
     text += "open: " + std::to_string(m_sources.worker.openCount()) + '\n';
     return text;
 }
 
+/** \returns a line with the era and version of the store that each table has reached here. */
+std::string EntryPages::versionsText() const
+{
+    std::string text{"store-versions:"};
+    for (const std::string_view table :
+         {platform::operatorTable, platform::serverTable, platform::ownershipTable}) {
+        const TableFollower *inState = m_sources.state.follower(table);
+        const TableFollower *follower = inState ? inState : m_sources.keys.follower(table);
+        if (follower)
+            text.append(" ").append(table).append("=").append(toString(follower->version()));
+    }
+    return text + '\n';
+}
+
 } // namespace bulrush
--- a/src/libbulrushentry/entrypages.h
+++ b/src/libbulrushentry/entrypages.h
@@ -66,6 +66,7 @@
     io::HttpResponse lift(const io::IncomingRequest &request);
     std::string metricsText() const;
     std::string statusText() const;
+    std::string versionsText() const;
 
     Sources m_sources;
     std::function<bool()> m_isReady;
--- a/src/libbulrushentry/followergroup.cpp
+++ b/src/libbulrushentry/followergroup.cpp
@@ -31,7 +31,7 @@
     }
 }
 
-void FollowerGroup::applyStoreVersion(std::uint64_t version, Instant givenAt)
+void FollowerGroup::applyStoreVersion(const StoreVersion &version, Instant givenAt)
 {
     for (TableFollower *follower : m_followers)
         follower->applyStoreVersion(version, givenAt);
--- a/src/libbulrushentry/followergroup.h
+++ b/src/libbulrushentry/followergroup.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/clock.h"
+#include "process/storeversion.h"
 
 #include <cstdint>
 #include <functional>
@@ -34,7 +35,7 @@
     void handleStoreTimeout(const TableFollower &reporter);
 
     /** Relays to all followers that the store was at \a version of all tables at \a givenAt. */
-    void applyStoreVersion(std::uint64_t version, Instant givenAt);
+    void applyStoreVersion(const StoreVersion &version, Instant givenAt);
 
     /** \returns whether a follower is waiting for the store to confirm its rows. */
     bool isConfirming(Instant now) const;
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -93,6 +93,21 @@
                   {"outcome", std::string{outcomeName(answer)}}});
 }
 
+/** Logs what a daemon remembers of the time before the store was restored. */
+void logRemembered(const RememberedAssignments &answer)
+{
+    std::string sequences;
+    for (const KeyAssignment &assignment : answer.assignments)
+        sequences += (sequences.empty() ? "" : ",") + assignment.service.value() + ':'
+            + std::to_string(assignment.sequence);
+    io::logEvent(LogLevel::Info, "assignments-remembered",
+                 {{"by", answer.host.value()},
+                  {"later", sequences.empty() ? "none" : sequences},
+                  {"planner", answer.planner.value()},
+                  {"planner-row", toString(answer.plannerVersion)},
+                  {"uptime-ms", io::millisecondsText(answer.uptime)}});
+}
+
 } // namespace
 
 KeyControl::KeyControl(Dependencies deps, const DaemonIdentity &self)
@@ -179,6 +194,11 @@
     return m_coordinator.makeRenewerAnswer(question.service, question.servers, now);
 }
 
+RememberedAssignments KeyControl::remembered(const io::KnownSequences &known) const
+{
+    return m_coordinator.remembered(known, io::hostNow());
+}
+
 const TableFollower *KeyControl::follower(std::string_view table) const
 {
     return table == m_ownership.table() ? &m_ownership : nullptr;
@@ -281,7 +301,7 @@
 void KeyControl::applyMissingRows(const TableChange &change, bool hasPlanner, Instant now)
 {
     if (!hasPlanner)
-        m_coordinator.applyPlannerRow(0, {}, now);
+        m_coordinator.applyPlannerRow({change.version.era, 0}, {}, now);
     std::vector<HostName> known;
     for (const auto &[host, renewer] : m_coordinator.renewers().renewers())
         known.push_back(host);
@@ -329,7 +349,7 @@
                   {"sequence", std::to_string(next.sequence)},
                   {"ranges", std::to_string(next.ranges.size())},
                   {"moving", std::to_string(moving)},
-                  {"row", std::to_string(outcome.version)},
+                  {"row", toString(outcome.version)},
                   {"error", errorText(outcome.error)}});
     if (m_coordinator.handleCommitResult(next, rowWriteResultOf(outcome.error), outcome.version,
                                          now))
@@ -436,7 +456,7 @@
     call.method = "POST";
     call.target = grantsPath;
     call.headers = {{"Host", toString(call.server)}};
-    io::RenewalQuery question{action.service, std::nullopt, 0, action.servers};
+    io::RenewalQuery question{action.service, std::nullopt, {}, action.servers};
     if (action.isBehind) {
         question.assignment = *known;
         question.version = m_coordinator.assignmentVersion(action.service);
@@ -453,6 +473,27 @@
     });
 }
 
+void KeyControl::execute(const QueryAssignments &action)
+{
+    io::ServerCall call;
+    call.server = action.renewer.row.address;
+    call.method = "POST";
+    call.target = assignmentsPath;
+    call.headers = {{"Host", toString(call.server)}};
+    call.body = std::make_shared<const std::string>(io::encodeKnownSequences(action.known));
+    call.timeout = EraRecovery::answerTimeout;
+    m_deps.servers.send(std::move(call), [this](const io::HttpResult &result) {
+        const auto answer =
+            io::decodeRememberedAssignments(result.error ? "" : result.response.body);
+        if (!answer)
+            return; // the coordinator asks again
+        logRemembered(*answer);
+        const Instant now = io::hostNow();
+        m_coordinator.recordRemembered(*answer, now);
+        advance(now);
+    });
+}
+
 void KeyControl::execute(const WriteDaemonRow &action)
 {
     platform::StoreCommit commit{std::string{platform::ownershipTable}, {}};
@@ -509,7 +550,7 @@
     if (std::exchange(m_wasPlanning, isPlanning()) == isPlanning())
         return;
     io::logEvent(LogLevel::Info, isPlanning() ? "planner-lease-taken" : "planner-lease-lost",
-                 {{"row", std::to_string(m_coordinator.lease().version())}});
+                 {{"row", toString(m_coordinator.lease().version())}});
 }
 
 } // namespace bulrush
--- a/src/libbulrushentry/keycontrol.h
+++ b/src/libbulrushentry/keycontrol.h
@@ -69,9 +69,15 @@
     /** Applies the assignment in a planner's question, if any. \returns the answer to it. */
     RenewerAnswer answer(const io::RenewalQuery &question);
 
+    /** \returns the assignments known here that are later than \a known, for a planner. */
+    RememberedAssignments remembered(const io::KnownSequences &known) const;
+
     /** \returns the follower of \a table, or null if this object does not follow it. */
     const TableFollower *follower(std::string_view table) const;
 
+    /** \returns whether the store has all known assignments; see KeyCoordinator. */
+    bool areAssignmentsConfirmed() const;
+
     /** \returns whether the rows are loaded and come from the store or another daemon. */
     bool areRowsFollowed() const;
 
@@ -103,6 +109,7 @@
     void execute(const SendGrant &action);
     void execute(const SendRelease &action);
     void execute(const QueryRenewer &action);
+    void execute(const QueryAssignments &action);
     void execute(const WriteDaemonRow &action);
     void execute(const RemoveDaemonRows &action);
     void handleCommitResult(const KeyAssignment &next, const platform::CommitOutcome &outcome);
@@ -124,6 +131,11 @@
     bool m_wasPlanning = false;
 };
 
+inline bool KeyControl::areAssignmentsConfirmed() const
+{
+    return m_coordinator.areAssignmentsConfirmed();
+}
+
 inline bool KeyControl::isPlanning() const
 {
     return m_coordinator.isPlanning();
--- a/src/libbulrushentry/knownrows.cpp
+++ b/src/libbulrushentry/knownrows.cpp
@@ -55,7 +55,7 @@
     }
 }
 
-RelayedRows KnownRows::since(std::uint64_t version) const
+RelayedRows KnownRows::since(const StoreVersion &version) const
 {
     RelayedRows result;
     result.version = m_version;
--- a/src/libbulrushentry/knownrows.h
+++ b/src/libbulrushentry/knownrows.h
@@ -26,22 +26,25 @@
     /** \returns whether rows were applied, even if the table was empty. */
     bool isLoaded() const;
 
-    /** \returns the store version of the rows; 0 if none were applied. */
-    std::uint64_t version() const;
+    /** \returns the store version of the rows; the lowest version if none were applied. */
+    const StoreVersion &version() const;
 
     /** Replaces all rows by \a all, the complete table. \pre \a all is not older than version() */
     void replaceAll(const platform::RowsOutcome &all, bool isAfterOutage);
 
     void applyChanges(const platform::RowsOutcome &changes);
 
-    /** Updates \a all, a complete table, with the later changes that are stored here. */
+    /**
+     * Updates \a all, a complete table, with the later changes that are stored here. \pre \a all is
+     * not of an earlier era than version()
+     */
     void mergeLaterChanges(platform::RowsOutcome &all) const;
 
     /**
-     * \returns the changes after \a version, or all rows if removals since then are no longer kept;
-     * without age and chain.
+     * \returns the changes after \a version, or all rows if removals since then are no longer kept
+     * or the store was restored since; without age and chain.
      */
-    RelayedRows since(std::uint64_t version) const;
+    RelayedRows since(const StoreVersion &version) const;
 
 private:
     void put(const std::vector<platform::StoreRow> &rows);
@@ -50,8 +53,8 @@
     /** The rows removed after m_removedSince. */
     std::vector<platform::StoreRow> m_removed;
     /** The version after which all removals are kept; older ones need the complete table. */
-    std::uint64_t m_removedSince = 0;
-    std::uint64_t m_version = 0;
+    StoreVersion m_removedSince;
+    StoreVersion m_version;
     bool m_isLoaded = false;
     /** The complete table was read after an outage of the store, instead of followed through it. */
     bool m_isAfterOutage = false;
@@ -62,7 +65,7 @@
     return m_isLoaded;
 }
 
-inline std::uint64_t KnownRows::version() const
+inline const StoreVersion &KnownRows::version() const
 {
     return m_version;
 }
--- a/src/libbulrushentry/peerpaths.h
+++ b/src/libbulrushentry/peerpaths.h
@@ -7,6 +7,8 @@
 /** Paths of the messages between daemons. */
 constexpr std::string_view loadsPath = "/loads";
 constexpr std::string_view grantsPath = "/grants";
+/** A planner's query for assignments that a restored store lacks. */
+constexpr std::string_view assignmentsPath = "/assignments";
 constexpr std::string_view permitsPath = "/permits";
 /** Followed by the name of a table and the version of the rows that the requesting daemon has. */
 constexpr std::string_view rowsPath = "/rows/";
--- a/src/libbulrushentry/peerservice.cpp
+++ b/src/libbulrushentry/peerservice.cpp
@@ -64,6 +64,8 @@
         return handleLoads(body);
     if (target == grantsPath)
         return answerQuestion(body);
+    if (target == assignmentsPath)
+        return answerAssignmentsQuery(body);
     if (target == permitsPath)
         return answerPermitQuery(body);
     if (target.starts_with(rowsPath))
@@ -118,6 +120,14 @@
     return jsonPage(io::encodeRenewalAnswer(m_keys.answer(*question)));
 }
 
+io::HttpResponse PeerService::answerAssignmentsQuery(const std::string &body)
+{
+    const auto known = io::decodeKnownSequences(body);
+    if (!known)
+        return io::plainTextResponse(badRequest, "body: not a query for assignments\n");
+    return jsonPage(io::encodeRememberedAssignments(m_keys.remembered(*known)));
+}
+
 io::HttpResponse PeerService::answerPermitQuery(const std::string &body)
 {
     const auto query = io::decodePermitQuery(body);
--- a/src/libbulrushentry/peerservice.h
+++ b/src/libbulrushentry/peerservice.h
@@ -48,6 +48,7 @@
     const TableFollower *follower(std::string_view table) const;
     io::HttpResponse handleLoads(const std::string &body);
     io::HttpResponse answerQuestion(const std::string &body);
+    io::HttpResponse answerAssignmentsQuery(const std::string &body);
     io::HttpResponse answerPermitQuery(const std::string &body);
 
     KeyControl &m_keys;
--- a/src/libbulrushentry/rowsclient.cpp
+++ b/src/libbulrushentry/rowsclient.cpp
@@ -25,7 +25,7 @@
     io::logEvent(LogLevel::Info, "rows-told",
                  {{"table", request.table},
                   {"by", toString(daemon)},
-                  {"version", std::to_string(request.version)},
+                  {"version", toString(request.version)},
                   {"outcome", result.error ? result.error.message() : "answered"},
                   {"bytes", std::to_string(bytes)},
                   {"ms", io::millisecondsText(io::hostNow() - sentAt)}});
@@ -42,8 +42,7 @@
 std::string feedTarget(const FollowRequest &request, Duration wait)
 {
     std::string target{feedPath};
-    target +=
-        request.table + '/' + std::to_string(request.version) + '/' + io::millisecondsText(wait);
+    target += request.table + '/' + toString(request.version) + '/' + io::millisecondsText(wait);
     if (request.age)
         target += '/' + io::millisecondsText(*request.age);
     return target;
@@ -97,7 +96,7 @@
     if (peers.empty())
         return;
     std::string target{rowsPath};
-    target += request.table + '/' + std::to_string(request.version);
+    target += request.table + '/' + toString(request.version);
     send(peers[m_next++ % peers.size()], request, std::move(target), timeout, std::move(handler));
 }
 
--- a/src/libbulrushentry/rowsclient.h
+++ b/src/libbulrushentry/rowsclient.h
@@ -17,8 +17,8 @@
 struct FollowRequest
 {
     std::string table;
-    /** The version of the rows that the requesting daemon has; 0 if it has none. */
-    std::uint64_t version = 0;
+    /** The version of the rows that the requesting daemon has; the lowest if it has none. */
+    StoreVersion version;
     /** The age of these rows, if only an answer with a later confirmation is useful. */
     std::optional<Duration> age = std::nullopt;
 };
--- a/src/libbulrushentry/rowscodec.cpp
+++ b/src/libbulrushentry/rowscodec.cpp
@@ -20,7 +20,8 @@
 {
     std::string text = "{\"age\":" + std::to_string(rows.age.count()) + ",\"rows\":";
     text += list;
-    text += ",\"version\":" + std::to_string(rows.version);
+    text += ",\"era\":" + std::to_string(rows.version.era);
+    text += ",\"version\":" + std::to_string(rows.version.number);
     text += ",\"chain\":" + std::to_string(rows.chain);
     if (rows.isAfterOutage)
         text += ",\"afterOutage\":true";
@@ -34,7 +35,7 @@
         Json::Value entry;
         entry["key"] = row.key;
         entry["value"] = row.value;
-        entry["version"] = Json::UInt64{row.version};
+        entry["version"] = Json::UInt64{row.version.number};
         if (row.isRemoved)
             entry["removed"] = true;
         list.append(std::move(entry));
@@ -47,7 +48,9 @@
     const Json::Value json = io::parseJson(std::string{text});
     io::JsonReader reader{json};
     RelayedRows rows;
-    rows.version = reader.number("version");
+    // Daemons before eras were known send none.
+    const std::uint64_t era = json.isMember("era") ? reader.number("era") : 0;
+    rows.version = {era, reader.number("version")};
     rows.age = reader.span("age");
     rows.isComplete = reader.flag("whole");
     rows.isAfterOutage = io::isTrue(json, "afterOutage");
@@ -56,7 +59,8 @@
     for (const Json::Value &entry : reader.list("rows")) {
         io::JsonReader row{entry};
         const bool isRemoved = io::isTrue(entry, "removed");
-        rows.rows.push_back({row.text("key"), row.text("value"), row.number("version"), isRemoved});
+        rows.rows.push_back(
+            {row.text("key"), row.text("value"), {era, row.number("version")}, isRemoved});
         if (!row.isValid())
             return std::nullopt;
     }
--- a/src/libbulrushentry/rowscodec.h
+++ b/src/libbulrushentry/rowscodec.h
@@ -15,7 +15,7 @@
 {
     std::vector<platform::StoreRow> rows;
     /** The store version of the rows. */
-    std::uint64_t version = 0;
+    StoreVersion version;
     /**
      * Time from the store's last confirmation of these rows to the arrival of the request; negative
      * if the store confirmed them while the request was held.
--- a/src/libbulrushentry/rowsfeed.cpp
+++ b/src/libbulrushentry/rowsfeed.cpp
@@ -47,7 +47,7 @@
 {
     path.remove_prefix(feedPath.size());
     const std::string_view table = takePathSegment(path);
-    const auto version = parseNumber(takePathSegment(path));
+    const auto version = parseStoreVersion(takePathSegment(path));
     const auto wait =
         durationOf(takePathSegment(path), RowsFeed::maxWait / std::chrono::milliseconds{1});
     if (table.empty() || !version || !wait)
@@ -63,7 +63,7 @@
 {
     path.remove_prefix(rowsPath.size());
     const std::string_view table = takePathSegment(path);
-    const auto version = parseNumber(path);
+    const auto version = parseStoreVersion(path);
     if (table.empty() || !version)
         return std::nullopt;
     return FeedRequest{std::string{table}, *version, Duration::zero()};
@@ -105,7 +105,7 @@
 /** \returns the changes for \a held, which are encoded once for all requests of its version. */
 RowsFeed::EncodedRows &RowsFeed::changesFor(const HeldRequest &held, EncodedChanges &encoded)
 {
-    const std::uint64_t version = held.request.version;
+    const StoreVersion version = held.request.version;
     const auto [place, isNew] = encoded.try_emplace({held.follower, version});
     if (isNew) {
         place->second.rows = held.follower->rowsSince(version, held.requestedAt);
--- a/src/libbulrushentry/rowsfeed.h
+++ b/src/libbulrushentry/rowsfeed.h
@@ -19,7 +19,7 @@
 {
     std::string table;
     /** The version of the rows that the other daemon has. */
-    std::uint64_t version = 0;
+    StoreVersion version;
     /** How long the request may be held while there is nothing new. */
     Duration wait{};
     /** The age of the other daemon's rows, if a later confirmation counts as new. */
@@ -81,7 +81,7 @@
         RelayedRows rows;
         std::string list;
     };
-    using EncodedChanges = std::map<std::pair<const TableFollower *, std::uint64_t>, EncodedRows>;
+    using EncodedChanges = std::map<std::pair<const TableFollower *, StoreVersion>, EncodedRows>;
 
     /** Answers the held requests that can be answered now. */
     void answerReady(Instant now);
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -147,7 +147,7 @@
         LogLevel::Info, "config-adopted",
         {{"version", std::to_string(config.version)},
          {"before", std::to_string(known)},
-         {"row", std::to_string(row.version)},
+         {"row", toString(row.version)},
          {"source", m_configs.source()},
          {"unchanged-until-ms-ago", io::millisecondsText(io::hostNow() - change.unchangedUntil)}});
     m_directory.setColdStarts(coldStartsOf(config));
@@ -175,7 +175,7 @@
     io::logEvent(servers == 0 ? LogLevel::Warning : LogLevel::Info, "evacuation-began",
                  {{"domain", domain.value()},
                   {"servers", std::to_string(servers)},
-                  {"row", std::to_string(row.version)},
+                  {"row", toString(row.version)},
                   {"source", m_configs.source()},
                   {"unchanged-until-ms-ago", io::millisecondsText(now - change.unchangedUntil)}});
     publish();
@@ -236,7 +236,7 @@
             // A row that can't be decoded describes no server, even if its previous value did.
             m_directory.remove(ServerName{row.key}, now);
             io::logEvent(LogLevel::Error, "server-unreadable",
-                         {{"server", row.key}, {"row", std::to_string(row.version)}});
+                         {{"server", row.key}, {"row", toString(row.version)}});
             continue;
         }
         logServerChange(*record, row.version, change);
@@ -254,7 +254,7 @@
 }
 
 /** Logs a server that is new, has returned or become cold, or has started or stopped draining. */
-void StatePublisher::logServerChange(const ServerRecord &record, std::uint64_t row,
+void StatePublisher::logServerChange(const ServerRecord &record, const StoreVersion &row,
                                      const TableChange &change) const
 {
     const KnownServer *known = m_directory.find(record.id);
@@ -271,7 +271,7 @@
                   {"address", toString(record.address)},
                   {"draining", record.isDraining ? "yes" : "no"},
                   {"cold-ms", io::millisecondsText(record.coldRemaining)},
-                  {"row", std::to_string(row)},
+                  {"row", toString(row)},
                   {"source", m_servers.source()},
                   {"unchanged-until-ms-ago", io::millisecondsText(now - change.unchangedUntil)},
                   {"told-ms-ago", io::millisecondsText(now - m_servers.confirmedAt())}});
--- a/src/libbulrushentry/statepublisher.h
+++ b/src/libbulrushentry/statepublisher.h
@@ -89,7 +89,7 @@
     void applyMissingEvacuations(const TableChange &change);
     void applyReturn(const DomainName &domain);
     void applyServers(const TableChange &change);
-    void logServerChange(const ServerRecord &record, std::uint64_t row,
+    void logServerChange(const ServerRecord &record, const StoreVersion &row,
                          const TableChange &change) const;
     void publish();
     std::size_t daemonCount() const;
--- a/src/libbulrushentry/storecalls.cpp
+++ b/src/libbulrushentry/storecalls.cpp
@@ -33,6 +33,10 @@
         return "unknown";
     if (error == platform::StoreError::HistoryExpired)
         return "history-gone";
+    if (error == platform::StoreError::Restored)
+        return "restored";
+    if (error == platform::StoreError::OutdatedEra)
+        return "outdated-era";
     return error == platform::StoreError::NotExecuted ? "not-done" : "bad-answer";
 }
 
--- a/src/libbulrushentry/tablefollower.cpp
+++ b/src/libbulrushentry/tablefollower.cpp
@@ -25,6 +25,12 @@
     return "reader-busy";
 }
 
+/** \returns whether a call failed because the store does not have the changes that it asked for. */
+bool isHistoryMissing(std::error_code error)
+{
+    return error == platform::StoreError::HistoryExpired || error == platform::StoreError::Restored;
+}
+
 } // namespace
 
 TableFollower::TableFollower(const FollowerDependencies &deps, std::string table,
@@ -32,6 +38,7 @@
     : m_deps(deps)
     , m_table(std::move(table))
     , m_timings(timings)
+    , m_rereadBackoff(minRereadBackoff, maxRereadBackoff, m_table)
 {
     m_deps.group.add(*this);
 }
@@ -159,7 +166,10 @@
     if (rows.version < m_rows.version())
         return false;
     const Instant now = io::hostNow();
-    const bool isAfterOutage = rows.isAfterOutage || isOutage(now);
+    const bool isRestored = isRestoredBy(rows.version);
+    if (isRestored && !rows.isComplete)
+        return false;
+    const bool isAfterOutage = rows.isAfterOutage || isOutage(now) || isRestored;
     const bool isNew = rows.version > m_rows.version() || !m_rows.isLoaded()
         || (m_needsAllRows && rows.isComplete);
     if (!isNew && asOf <= m_confirmedAt)
@@ -168,10 +178,12 @@
     recordConfirmation(asOf);
     if (isNew) {
         const platform::RowsOutcome outcome{{}, std::move(rows.rows), rows.version};
+        if (isRestored)
+            logRestore(outcome.version, outcome.rows.size());
         updateRows(outcome, rows.isComplete, isAfterOutage);
         if (rows.isComplete || !outcome.rows.empty())
-            m_changeHandler(
-                {outcome.rows, m_rows.version(), rows.isComplete, isAfterOutage, unchangedUntil});
+            m_changeHandler({outcome.rows, m_rows.version(), rows.isComplete, isAfterOutage,
+                             unchangedUntil, isRestored});
     }
     m_answerHandler(asOf);
     return true;
@@ -205,19 +217,21 @@
 
 void TableFollower::handleRowsResult(platform::RowsOutcome outcome, bool isComplete, Instant sentAt)
 {
-    if (outcome.error == platform::StoreError::HistoryExpired) {
-        io::logEvent(LogLevel::Info, "store-history-gone",
-                     {{"table", m_table}, {"known-version", std::to_string(m_rows.version())}});
-        m_deps.plan.recordStoreAnswer();
-        m_needsAllRows = true;
-        readAllRows();
+    if (isHistoryMissing(outcome.error)) {
+        readAgain(outcome.error);
         return;
     }
+    if (isOutdated(outcome))
+        outcome.error = platform::StoreError::OutdatedEra;
     if (outcome.error) {
         handleStoreFailure(outcome.error);
         return;
     }
     m_deps.plan.recordStoreAnswer();
+    if (!isComplete) {
+        m_wasHistoryMissing = false;
+        m_rereadBackoff.succeeded();
+    }
     m_answerHandler(applyStoreRows(std::move(outcome), isComplete, sentAt));
     m_deps.group.notifyChanged();
     if (m_timings.pause > Duration::zero() && !isComplete)
@@ -226,29 +240,73 @@
         runNextStep();
 }
 
+/** Reads the complete table again, as the store does not have the changes since the last rows. */
+void TableFollower::readAgain(std::error_code reason)
+{
+    io::logEvent(LogLevel::Info, "store-history-gone",
+                 {{"table", m_table},
+                  {"known-version", toString(m_rows.version())},
+                  {"reason", reason.message()}});
+    m_deps.plan.recordStoreAnswer();
+    m_needsAllRows = true;
+    if (!std::exchange(m_wasHistoryMissing, true)) {
+        readAllRows();
+        return;
+    }
+    const Instant now = io::hostNow();
+    m_deps.timers.after(m_rereadBackoff.failed(now) - now, [this](Instant) { runNextStep(); });
+}
+
+/** \returns whether \a outcome was given before the store was restored. */
+bool TableFollower::isOutdated(const platform::RowsOutcome &outcome) const
+{
+    return !outcome.error && outcome.version.era < m_rows.version().era;
+}
+
+/** \returns whether rows of \a version are the first ones since the store was restored. */
+bool TableFollower::isRestoredBy(const StoreVersion &version) const
+{
+    return m_rows.isLoaded() && version.era > m_rows.version().era;
+}
+
+void TableFollower::logRestore(const StoreVersion &version, std::size_t rowCount) const
+{
+    io::logEvent(LogLevel::Warning, "store-restored",
+                 {{"table", m_table},
+                  {"before", toString(m_rows.version())},
+                  {"version", toString(version)},
+                  {"rows", std::to_string(rowCount)},
+                  {"source", m_source},
+                  {"age-ms", io::millisecondsText(io::hostNow() - m_confirmedAt)}});
+}
+
 /** Applies an answer of the store. \returns an instant at which it held exactly these rows. */
 Instant TableFollower::applyStoreRows(platform::RowsOutcome outcome, bool isComplete,
                                       Instant sentAt)
 {
     const Instant now = io::hostNow();
-    const Instant givenAt =
-        outcome.storeTime ? m_deps.clock.givenAt(sentAt, now, *outcome.storeTime) : sentAt;
+    const Instant givenAt = outcome.storeTime
+        ? m_deps.clock.givenAt(sentAt, now, *outcome.storeTime, outcome.version.era)
+        : sentAt;
     if (outcome.skipped > 0)
         io::logEvent(LogLevel::Error, "rows-unreadable",
                      {{"table", m_table}, {"count", std::to_string(outcome.skipped)}});
-    const std::uint64_t storeVersion = outcome.version;
+    const StoreVersion storeVersion = outcome.version;
+    const bool isRestored = isRestoredBy(outcome.version);
     if (isComplete)
         io::logEvent(LogLevel::Info, "rows-read",
                      {{"table", m_table},
-                      {"version", std::to_string(outcome.version)},
-                      {"known-version", std::to_string(m_rows.version())},
+                      {"version", toString(outcome.version)},
+                      {"known-version", toString(m_rows.version())},
                       {"rows", std::to_string(outcome.rows.size())}});
     // The answer to an earlier call must not undo changes received from another source meanwhile.
     if (isComplete)
         m_rows.mergeLaterChanges(outcome);
     else if (outcome.version <= m_rows.version())
         outcome.rows.clear();
-    const bool isAfterOutage = isOutage(now);
+    if (isRestored)
+        logRestore(outcome.version, outcome.rows.size());
+    const bool isAfterOutage = isOutage(now) || isRestored;
     const Instant unchangedUntil = m_confirmedAt;
     recordConfirmation(givenAt);
     if (m_source == storeSource)
@@ -256,8 +314,8 @@
     leaveFailing();
     updateRows(outcome, isComplete, isAfterOutage);
     if (isComplete || !outcome.rows.empty())
-        m_changeHandler(
-            {std::move(outcome.rows), m_rows.version(), isComplete, isAfterOutage, unchangedUntil});
+        m_changeHandler({std::move(outcome.rows), m_rows.version(), isComplete, isAfterOutage,
+                         unchangedUntil, isRestored});
     m_deps.group.applyStoreVersion(storeVersion, givenAt);
     return givenAt;
 }
@@ -331,8 +389,15 @@
     return m_confirmingSince && now - *m_confirmingSince < confirmTimeout;
 }
 
-void TableFollower::applyStoreVersion(std::uint64_t version, Instant givenAt)
+void TableFollower::applyStoreVersion(const StoreVersion &version, Instant givenAt)
 {
+    // A wait that was sent before the store was restored may miss changes.
+    if (isRestoredBy(version) && m_waitCall) {
+        m_deps.store.cancel(*m_waitCall);
+        m_waitCall.reset();
+        readAgain(platform::StoreError::Restored);
+        return;
+    }
     if (!m_rows.isLoaded() || version != m_rows.version() || givenAt <= m_confirmedAt)
         return;
     recordConfirmation(givenAt);
@@ -356,6 +421,12 @@
 void TableFollower::handleConfirmation(platform::RowsOutcome outcome, Instant sentAt)
 {
     const bool isWaitSuspect = m_waitCall && m_waitCall == m_suspectWait;
+    if (isHistoryMissing(outcome.error)) {
+        readToConfirm();
+        return;
+    }
+    if (isOutdated(outcome))
+        outcome.error = platform::StoreError::OutdatedEra;
     if (outcome.error) {
         m_deps.plan.recordStoreFailure(io::hostNow());
         m_isUnconfirmed = true;
@@ -376,6 +447,30 @@
     followStore();
 }
 
+/** Reads the complete table, as the store could not confirm the rows by their changes. */
+void TableFollower::readToConfirm()
+{
+    m_deps.plan.recordStoreAnswer();
+    if (m_isFailing || m_isReading)
+        return;
+    if (m_waitCall) {
+        m_deps.store.cancel(*m_waitCall);
+        m_waitCall.reset();
+        readAgain(platform::StoreError::HistoryExpired);
+        return;
+    }
+    // Another daemon is the source, and its answer is pending.
+    const Instant sentAt = io::hostNow();
+    m_confirmingSince = sentAt;
+    m_deps.store.read(m_table, [this, sentAt](platform::RowsOutcome outcome) {
+        m_confirmingSince.reset();
+        if (outcome.error || isOutdated(outcome) || m_isFailing)
+            return;
+        m_answerHandler(applyStoreRows(std::move(outcome), true, sentAt));
+        m_deps.group.notifyChanged();
+    });
+}
+
 void TableFollower::rereadFromStore()
 {
     if (!m_waitCall)
@@ -458,7 +553,7 @@
         && (!m_timings.confirmation || now - m_confirmedAt < m_timings.confirmation->askStoreAfter);
 }
 
-RelayedRows TableFollower::rowsSince(std::uint64_t version, Instant requestedAt) const
+RelayedRows TableFollower::rowsSince(const StoreVersion &version, Instant requestedAt) const
 {
     RelayedRows result = m_rows.since(version);
     result.age = requestedAt - m_confirmedAt;
--- a/src/libbulrushentry/tablefollower.h
+++ b/src/libbulrushentry/tablefollower.h
@@ -5,6 +5,7 @@
 #include "platform/storeclient.h"
 #include "process/followplan.h"
 #include "process/looptimers.h"
+#include "process/retrybackoff.h"
 #include "process/storeclock.h"
 #include "rowsclient.h"
 
@@ -21,12 +22,17 @@
 {
     std::vector<platform::StoreRow> rows;
     /** The store version that the table has reached with these rows. */
-    std::uint64_t version = 0;
+    StoreVersion version;
     bool isComplete = false;
     /** The store was unreachable before, so that rows may have expired in the meantime. */
     bool isAfterOutage = false;
     /** The last instant at which the store was confirmed to hold the previous rows. */
     Instant unchangedUntil;
+    /**
+     * The store was restored from an older copy since the previous rows: these may be older, and
+     * rows of the previous ones may be missing until they are written again.
+     */
+    bool isRestored = false;
 };
 
 /** When to confirm a table's rows with another source while the current source is silent. */
@@ -103,6 +109,13 @@
      */
     static constexpr Duration outdatedReaderRetryDelay = std::chrono::milliseconds{200};
 
+    /**
+     * Backoff between reads of the complete table if the store never has the changes since the
+     * previous read.
+     */
+    static constexpr Duration minRereadBackoff = std::chrono::milliseconds{100};
+    static constexpr Duration maxRereadBackoff = std::chrono::seconds{2};
+
     /** \pre the dependencies outlive this object */
     TableFollower(const FollowerDependencies &deps, std::string table, FollowTimings timings);
 
@@ -119,7 +132,7 @@
     void rereadFromStore();
 
     /** Records that no table has changed after \a version, which the store sent at \a givenAt. */
-    void applyStoreVersion(std::uint64_t version, Instant givenAt);
+    void applyStoreVersion(const StoreVersion &version, Instant givenAt);
 
     /** \returns whether a confirmation by the store is pending and has not timed out. */
     bool isConfirming(Instant now) const;
@@ -148,10 +161,10 @@
     bool isServing() const;
 
     /** \returns the store version of the rows. */
-    std::uint64_t version() const;
+    const StoreVersion &version() const;
 
     /** \returns the changes after \a version, or all rows. \pre hasRows() */
-    RelayedRows rowsSince(std::uint64_t version, Instant requestedAt) const;
+    RelayedRows rowsSince(const StoreVersion &version, Instant requestedAt) const;
 
 private:
     void begin(ChangeHandler changed, AnswerHandler answered);
@@ -160,6 +173,8 @@
     void execute(const QueryReader &step);
     void execute(const RetryLater &step);
     void readAllRows();
+    void readAgain(std::error_code reason);
+    void readToConfirm();
     void followStore();
     void handleReaderAnswer(const RowsReader &reader, FollowAnswer answer);
     void handleReaderFailure(const RowsReader &reader, ReaderFailure failure);
@@ -169,6 +184,9 @@
     void logSource();
     void handleRowsResult(platform::RowsOutcome outcome, bool isComplete, Instant sentAt);
     void handleStoreFailure(std::error_code error);
+    bool isOutdated(const platform::RowsOutcome &outcome) const;
+    bool isRestoredBy(const StoreVersion &version) const;
+    void logRestore(const StoreVersion &version, std::size_t rowCount) const;
     bool enterFailing(std::string_view reason);
     void leaveFailing();
     void checkAge(Instant now);
@@ -201,6 +219,9 @@
     Instant m_confirmedAt;
     /** Changes may have been missed, so that the complete table has to be read next. */
     bool m_needsAllRows = false;
+    /** The last call for changes failed as the store did not have them. */
+    bool m_wasHistoryMissing = false;
+    RetryBackoff m_rereadBackoff;
     /** The pending wait for changes at the store, if any. */
     std::optional<platform::StoreClient::CallId> m_waitCall;
     Instant m_failingSince;
@@ -229,7 +250,7 @@
     return m_rows.isLoaded();
 }
 
-inline std::uint64_t TableFollower::version() const
+inline const StoreVersion &TableFollower::version() const
 {
     return m_rows.version();
 }
--- a/src/libbulrushio/version/keyassignmentcodec.cpp
+++ b/src/libbulrushio/version/keyassignmentcodec.cpp
@@ -101,6 +101,7 @@
     Json::Value json;
     json["service"] = assignment.service.value();
     json["sequence"] = Json::UInt64{assignment.sequence};
+    json["era"] = Json::UInt64{assignment.era};
     json["servers"] = servers.names();
     json["ranges"] = std::move(ranges);
     return toCompactJson(json);
@@ -113,6 +114,9 @@
     KeyAssignment assignment;
     assignment.service = ServiceName{reader.text("service")};
     assignment.sequence = reader.number("sequence");
+    // Daemons before eras were known wrote none.
+    if (reader.isValid() && json.isMember("era"))
+        assignment.era = reader.number("era");
     const Json::Value &names = reader.list("servers");
     for (const Json::Value &entry : reader.list("ranges")) {
         std::optional<OwnedRange> owned = decodeRange(entry, names);
--- a/src/libbulrushio/version/renewalcodec.cpp
+++ b/src/libbulrushio/version/renewalcodec.cpp
@@ -15,7 +15,7 @@
     json["service"] = question.service.value();
     if (question.assignment) {
         json["assignment"] = encodeAssignment(*question.assignment);
-        json["version"] = Json::UInt64{question.version};
+        json["version"] = toString(question.version);
     }
     json["servers"] = jsonOf(question.servers);
     return toCompactJson(json);
@@ -29,7 +29,10 @@
     question.service = ServiceName{reader.text("service")};
     if (reader.isValid() && json.isMember("assignment")) {
         question.assignment = decodeAssignment(reader.text("assignment"));
-        question.version = reader.number("version");
+        const auto version = parseStoreVersion(reader.text("version"));
+        if (!version)
+            return std::nullopt;
+        question.version = *version;
         if (!question.assignment || question.assignment->service != question.service)
             return std::nullopt;
     }
@@ -78,6 +81,64 @@
     return answer;
 }
 
+std::string encodeKnownSequences(const KnownSequences &known)
+{
+    Json::Value json{Json::objectValue};
+    for (const auto &[service, sequence] : known)
+        json[service.value()] = Json::UInt64{sequence};
+    return toCompactJson(json);
+}
+
+std::optional<KnownSequences> decodeKnownSequences(std::string_view text)
+{
+    const Json::Value json = parseJson(std::string{text});
+    if (!json.isObject())
+        return std::nullopt;
+    KnownSequences known;
+    for (const std::string &service : json.getMemberNames()) {
+        if (!json[service].isUInt64())
+            return std::nullopt;
+        known[ServiceName{service}] = json[service].asUInt64();
+    }
+    return known;
+}
+
+std::string encodeRememberedAssignments(const RememberedAssignments &remembered)
+{
+    Json::Value json;
+    json["host"] = remembered.host.value();
+    json["incarnation"] = remembered.incarnation.value();
+    json["uptime"] = jsonOf(remembered.uptime);
+    json["planner"] = remembered.planner.value();
+    json["planner-version"] = toString(remembered.plannerVersion);
+    json["assignments"] = Json::Value{Json::arrayValue};
+    for (const KeyAssignment &assignment : remembered.assignments)
+        json["assignments"].append(encodeAssignment(assignment));
+    return toCompactJson(json);
+}
+
+std::optional<RememberedAssignments> decodeRememberedAssignments(std::string_view text)
+{
+    const Json::Value json = parseJson(std::string{text});
+    JsonReader reader{json};
+    RememberedAssignments remembered;
+    remembered.host = HostName{reader.text("host")};
+    remembered.incarnation = Incarnation{reader.text("incarnation")};
+    remembered.uptime = reader.span("uptime");
+    remembered.planner = Incarnation{reader.text("planner")};
+    const auto plannerVersion = parseStoreVersion(reader.text("planner-version"));
+    for (const Json::Value &entry : reader.list("assignments")) {
+        auto assignment = decodeAssignment(entry.isString() ? entry.asString() : std::string{});
+        if (!assignment)
+            return std::nullopt;
+        remembered.assignments.push_back(std::move(*assignment));
+    }
+    if (!reader.isValid() || !plannerVersion)
+        return std::nullopt;
+    remembered.plannerVersion = *plannerVersion;
+    return remembered;
+}
+
 std::string encodeDaemonRow(const DaemonRow &row)
 {
     Json::Value json;
--- a/src/libbulrushio/version/renewalcodec.h
+++ b/src/libbulrushio/version/renewalcodec.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "process/erarecovery.h"
 #include "process/renewerregistry.h"
 #include "version/keyassignment.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,7 +24,7 @@
      */
     std::optional<KeyAssignment> assignment;
     /** Version of the assignment's row. */
-    std::uint64_t version = 0;
+    StoreVersion version;
     std::vector<ServerName> servers;
 };
 
@@ -38,6 +40,21 @@
 /** \returns the answer in \a text, or nothing if it is invalid. Thread safe. */
 std::optional<RenewerAnswer> decodeRenewalAnswer(std::string_view text);
 
+/** The sequences of the assignments that a planner knows, by service. */
+using KnownSequences = std::map<ServiceName, std::uint64_t>;
+
+/** \returns \a known encoded as JSON text, a planner's query for later ones. Thread safe. */
+std::string encodeKnownSequences(const KnownSequences &known);
+
+/** \returns the sequences in \a text, or nothing if it is invalid. Thread safe. */
+std::optional<KnownSequences> decodeKnownSequences(std::string_view text);
+
+/** \returns \a remembered encoded as JSON text. Thread safe. */
+std::string encodeRememberedAssignments(const RememberedAssignments &remembered);
+
+/** \returns the assignments in \a text, or nothing if it is invalid. Thread safe. */
+std::optional<RememberedAssignments> decodeRememberedAssignments(std::string_view text);
+
 /** \returns \a row encoded as JSON text. Thread safe. */
 std::string encodeDaemonRow(const DaemonRow &row);
 
--- a/tests/crashes/test_crashledger.cpp
+++ b/tests/crashes/test_crashledger.cpp
@@ -64,11 +64,11 @@
                 continue;
             ++writes;
             rows[host] = {++version, write->row};
-            registry.handleWriteResult(RowWriteResult::Done, version, now);
+            registry.handleWriteResult(RowWriteResult::Done, {0, version}, now);
         }
         for (auto &[host, registry] : registries) {
             for (const auto &[writer, row] : rows)
-                registry.applyRow(writer, row.first, row.second, now);
+                registry.applyRow(writer, {0, row.first}, row.second, now);
         }
     }
 
@@ -211,16 +211,16 @@
 BOOST_FIXTURE_TEST_CASE(removedOrInvalidRowIsRewritten, Daemons)
 {
     reportCrash(0, bad, server(1));
-    at(0).applyRow(hosts[0], ++version, std::nullopt, now);
+    at(0).applyRow(hosts[0], {0, ++version}, std::nullopt, now);
     const CrashReport second{bad, server(2), {}};
     at(0).reported({&second, 1}, now);
     const auto firstWrite = at(0).startDueWrite(now);
     BOOST_REQUIRE(firstWrite.has_value());
     BOOST_TEST(firstWrite->expectedVersion == 0U);
-    at(0).handleWriteResult(RowWriteResult::Done, ++version, now);
+    at(0).handleWriteResult(RowWriteResult::Done, {0, ++version}, now);
     // A row version from before the write is ignored.
-    at(0).applyRow(hosts[0], version - 1, std::nullopt, now);
-    at(0).applyRow(hosts[0], ++version, CrashRow{}, now);
+    at(0).applyRow(hosts[0], {0, version - 1}, std::nullopt, now);
+    at(0).applyRow(hosts[0], {0, ++version}, CrashRow{}, now);
     const CrashReport third{bad, server(3), {}};
     at(0).reported({&third, 1}, now);
     const auto again = at(0).startDueWrite(now);
@@ -284,14 +284,14 @@
     registry.markRowsComplete();
     BOOST_TEST(registry.startDueWrite(now).has_value());
     BOOST_TEST(!registry.startDueWrite(now).has_value());
-    registry.handleWriteResult(RowWriteResult::Refused, 0, now);
+    registry.handleWriteResult(RowWriteResult::Refused, {}, now);
     BOOST_TEST(!registry.startDueWrite(now).has_value());
     const auto again = registry.startDueWrite(now + CrashRegistry::minWriteBackoff);
     BOOST_REQUIRE(again.has_value());
     BOOST_TEST(again->row.reports.size() == 1U);
-    registry.handleWriteResult(RowWriteResult::Unknown, 0, now);
+    registry.handleWriteResult(RowWriteResult::Unknown, {}, now);
     // The write with the unknown result was executed.
-    registry.applyRow(hosts[0], 7, again->row, now);
+    registry.applyRow(hosts[0], {0, 7}, again->row, now);
     const auto third = registry.startDueWrite(now + 10s);
     BOOST_REQUIRE(third.has_value());
     BOOST_TEST(third->expectedVersion == 7U);
--- a/tests/crashes/test_crashworld.cpp
+++ b/tests/crashes/test_crashworld.cpp
@@ -202,7 +202,7 @@
         Host &host = hosts[index];
         if (const auto write = host.registry.startDueWrite(now)) {
             rows[index] = {++version, write->row, now};
-            host.registry.handleWriteResult(RowWriteResult::Done, version, now);
+            host.registry.handleWriteResult(RowWriteResult::Done, {0, version}, now);
             ++writes;
         }
         if (const auto update = host.registry.takeUpdate(now))
@@ -218,7 +218,7 @@
                 || now < row.writtenAt + propagationDelay(from, index))
                 continue;
             host.receivedVersions[from] = row.version;
-            host.registry.applyRow(hosts[from].name, row.version, row.row, now);
+            host.registry.applyRow(hosts[from].name, {0, row.version}, row.row, now);
         }
         advance(index);
     }
@@ -232,7 +232,8 @@
         for (std::size_t from = 0; from < rows.size(); ++from) {
             host.receivedVersions[from] = rows[from].version;
             if (rows[from].version > 0)
-                host.registry.applyRow(hosts[from].name, rows[from].version, rows[from].row, now);
+                host.registry.applyRow(hosts[from].name, {0, rows[from].version}, rows[from].row,
+                                       now);
         }
         host.registry.markRowsComplete();
         host.quarantine = {};
--- a/tests/entryfleet/test_entrystorerestored.cpp
+++ b/tests/entryfleet/test_entrystorerestored.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <thread>
 #include <vector>
@@ -66,6 +67,26 @@
         return std::chrono::duration<double>(Clock::now() - written).count();
     }
 
+    /** \returns the number of calls that all daemons have made to the store. */
+    std::uint64_t callsOfAll()
+    {
+        std::uint64_t sum = 0;
+        for (const std::string &host : hosts)
+            sum += storeCalls(host);
+        return sum;
+    }
+
+    /** Sets the server that owns key 0 to draining. \returns whether its keys move away. */
+    bool moveKeysOfALeavingServer()
+    {
+        const std::string owner = ownerOf("b1", 0);
+        writeRecord(owner, "draining");
+        return eventually([&] {
+            const std::string next = ownerOf("b1", 0);
+            return !next.empty() && next != owner;
+        });
+    }
+
     /**
      * Sends payments through all hosts until \a span after \a server started to drain.
      * \returns the seconds from then to the last payment that \a server began.
@@ -114,11 +135,79 @@
     writeLostRows(40);
     restoreAfter(1500ms);
     std::this_thread::sleep_for(4s);
+    BOOST_TEST(moveKeysOfALeavingServer());
+    BOOST_TEST(firstOverlap() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(keysStayServedWhileTheStoreIsRestored, RestoredFleet)
+{
+    BOOST_TEST(moveKeysOfALeavingServer());
+    writeLostRows(10);
+    setStoreFault("*", "silent");
+    BOOST_TEST(countFailedReadsFor(2500ms, "a1") == 0);
+    restoreStoreCopy();
+    setStoreFault("*", "ok");
+    BOOST_TEST(countFailedReadsFor(10s, "a1") == 0);
+    BOOST_TEST(page("a1", "/status").find("assignments: confirmed") != std::string::npos);
+    BOOST_TEST(firstOverlap() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(callsToARestoredStoreStayFew, RestoredFleet)
+{
+    const std::uint64_t atRest = callsOfAll();
+    std::this_thread::sleep_for(5s);
+    const std::uint64_t restedCalls = callsOfAll() - atRest;
+    writeLostRows(40);
+    restoreAfter(500ms);
+    const std::uint64_t before = callsOfAll();
+    std::this_thread::sleep_for(5s);
+    // Each daemon reads three tables once and writes its own row, the planner its lease and two
+    // assignments at most.
+    BOOST_TEST(callsOfAll() - before <= 2 * restedCalls + hosts.size() * 8 + 10);
+}
+
+BOOST_FIXTURE_TEST_CASE(twoRestoresMomentsApartAreFollowed, RestoredFleet)
+{
+    writeLostRows(20);
+    restoreAfter(1s);
+    std::this_thread::sleep_for(300ms);
+    writeLostRows(5);
+    restoreAfter(300ms);
+    std::this_thread::sleep_for(3s);
+    BOOST_TEST(secondsUntilConfigIsInForce() <= seconds(configBound));
+    BOOST_TEST(moveKeysOfALeavingServer());
+    BOOST_TEST(firstOverlap() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(daemonsThatAllRestartWithTheStoreServeAgain, RestoredFleet)
+{
+    BOOST_TEST(moveKeysOfALeavingServer());
     const std::string owner = ownerOf("b1", 0);
-    writeRecord(owner, "draining");
-    BOOST_TEST(eventually([&] {
-        const std::string next = ownerOf("b1", 0);
-        return !next.empty() && next != owner;
-    }));
+    const std::uint64_t fence = highestFence(owner);
+    setStoreFault("*", "silent");
+    for (const std::string &host : hosts)
+        daemon(host).kill();
+    restoreStoreCopy();
+    setStoreFault("*", "ok");
+    // The copy shows the server that left as ready, until that server writes its record again.
+    startDaemons();
+    waitUntilServing();
+    BOOST_TEST(highestFence(ownerOf("b1", 0)) > fence);
+    BOOST_TEST(firstOverlap() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(domainThatLearnsOfTheRestoreLateFollows, RestoredFleet)
+{
+    writeLostRows(20);
+    setStoreFault("*", "silent");
+    std::this_thread::sleep_for(500ms);
+    restoreStoreCopy();
+    setStoreFault("a1", "ok");
+    setStoreFault("a2", "ok");
+    std::this_thread::sleep_for(4s);
+    setStoreFault("b1", "ok");
+    std::this_thread::sleep_for(1500ms);
+    BOOST_TEST(secondsUntilConfigIsInForce() <= seconds(configBound));
+    BOOST_TEST(moveKeysOfALeavingServer());
     BOOST_TEST(firstOverlap() == "");
 }
--- a/tests/keydecisions/test_daemonrows.cpp
+++ b/tests/keydecisions/test_daemonrows.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE DaemonRows
 
 #include "process/keycoordinator.h"
+#include "support/storeversions.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -9,6 +10,7 @@
 #include <vector>
 
 using namespace bulrush;
+using namespace bulrush::test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -45,8 +47,8 @@
 
     void applyRows()
     {
-        coordinator.applyPlannerRow(0, {}, now);
-        coordinator.markRowsApplied(rowsVersion);
+        coordinator.applyPlannerRow(versionAt(0), {}, now);
+        coordinator.markRowsApplied(versionAt(rowsVersion));
     }
 
     /** \returns the write of the daemon's own row among \a actions, or null. */
@@ -65,9 +67,9 @@
         const std::vector<KeyAction> actions = advance(100ms);
         const WriteDaemonRow *write = registration(actions);
         BOOST_REQUIRE(write);
-        coordinator.handleDaemonRowResult(RowWriteResult::Done, version, now);
-        coordinator.applyDaemonRow(self, version, write->row, now);
-        coordinator.markRowsApplied(version);
+        coordinator.handleDaemonRowResult(RowWriteResult::Done, versionAt(version), now);
+        coordinator.applyDaemonRow(self, versionAt(version), write->row, now);
+        coordinator.markRowsApplied(versionAt(version));
     }
 };
 
@@ -81,16 +83,16 @@
         applyRows();
         for (std::size_t i = 0; i < daemons; ++i)
             coordinator.applyDaemonRow(
-                hostOf(i), versionOf(i),
+                hostOf(i), versionAt(versionOf(i)),
                 DaemonRow{Incarnation{hostOf(i).value() + "/1"}, {"10.0.1.1", 80}}, now);
         KeyAssignment assignment;
         assignment.service = service;
         assignment.sequence = 2;
         assignment.ranges = {
             {{0, keyPositionCount - 1}, ServerName{"new"}, 2, {}, ServerName{"old"}, 2}};
-        coordinator.applyAssignment(assignment, rowsVersion, now);
+        coordinator.applyAssignment(assignment, versionAt(rowsVersion), now);
         advance(100ms);
-        coordinator.handlePlannerRowResult(RowWriteResult::Done, rowsVersion + 1, now);
+        coordinator.handlePlannerRowResult(RowWriteResult::Done, versionAt(rowsVersion + 1), now);
         advance(100ms);
         BOOST_REQUIRE(coordinator.isPlanning());
     }
@@ -110,8 +112,8 @@
     {
         for (const KeyAction &action : actions) {
             if (const auto *write = std::get_if<WritePlannerRow>(&action))
-                coordinator.handlePlannerRowResult(RowWriteResult::Done,
-                                                   write->write.expectedVersion + 1, now);
+                coordinator.handlePlannerRowResult(
+                    RowWriteResult::Done, versionAt(write->write.expectedVersion + 1), now);
         }
     }
 
@@ -141,7 +143,7 @@
 {
     applyRows();
     registerSelf(50);
-    coordinator.applyDaemonRow(self, 60, std::nullopt, now);
+    coordinator.applyDaemonRow(self, versionAt(60), std::nullopt, now);
     const std::vector<KeyAction> actions = advance(5s);
     const WriteDaemonRow *write = registration(actions);
     BOOST_REQUIRE(write);
@@ -157,7 +159,7 @@
         if (!registration(actions))
             continue;
         ++attempts;
-        coordinator.handleDaemonRowResult(RowWriteResult::Refused, 0, now);
+        coordinator.handleDaemonRowResult(RowWriteResult::Refused, versionAt(0), now);
     }
     // The delay starts at 0.5 s and doubles up to 8 s, which gives 6 to 8 attempts in half a
     // minute.
--- a/tests/keydecisions/test_keycodecs.cpp
+++ b/tests/keydecisions/test_keycodecs.cpp
@@ -66,14 +66,14 @@
 BOOST_AUTO_TEST_CASE(queriesAndAnswersSurviveEncoding)
 {
     const KeyAssignment known = assignment();
-    const io::RenewalQuery question{known.service, known, 77, {ServerName{"i-1"}}};
+    const io::RenewalQuery question{known.service, known, {2, 77}, {ServerName{"i-1"}}};
     const auto decoded = io::decodeRenewalQuery(io::encodeRenewalQuery(question));
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST((decoded->service == question.service));
     BOOST_TEST((decoded->assignment == question.assignment));
-    BOOST_TEST(decoded->version == 77U);
+    BOOST_TEST((decoded->version == StoreVersion{2, 77}));
     BOOST_TEST((decoded->servers == question.servers));
-    const io::RenewalQuery brief{known.service, std::nullopt, 0, question.servers};
+    const io::RenewalQuery brief{known.service, std::nullopt, {}, question.servers};
     const auto decodedBrief = io::decodeRenewalQuery(io::encodeRenewalQuery(brief));
     BOOST_REQUIRE(decodedBrief.has_value());
     BOOST_TEST(!decodedBrief->assignment.has_value());
--- a/tests/keydecisions/test_plannerlease.cpp
+++ b/tests/keydecisions/test_plannerlease.cpp
@@ -1,12 +1,14 @@
 #define BOOST_TEST_MODULE PlannerLease
 
 #include "process/plannerlease.h"
+#include "support/storeversions.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 
 using namespace bulrush;
+using namespace bulrush::test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -23,11 +25,11 @@
 
     void takeLease(Instant now)
     {
-        lease.applyRow(0, {}, now - takeoverDelay);
+        lease.applyRow(versionAt(0), {}, now - takeoverDelay);
         const auto write = lease.advance(now);
         BOOST_REQUIRE(write.has_value());
         BOOST_TEST(write->expectedVersion == 0U);
-        lease.handleWriteResult(RowWriteResult::Done, 5, now + 5ms);
+        lease.handleWriteResult(RowWriteResult::Done, versionAt(5), now + 5ms);
     }
 };
 
@@ -42,7 +44,7 @@
 {
     takeLease(start);
     BOOST_TEST(lease.isHeld(start + 1s));
-    BOOST_TEST(lease.version() == 5U);
+    BOOST_TEST(lease.version() == versionAt(5));
     BOOST_TEST(!lease.advance(start + 1s).has_value());
     const auto renewal = lease.advance(start + PlannerLease::renewalInterval + 10ms);
     BOOST_REQUIRE(renewal.has_value());
@@ -61,7 +63,7 @@
 {
     Instant now = start;
     for (std::uint64_t version = 1; version < 10; ++version) {
-        lease.applyRow(version, {other, address, version}, now);
+        lease.applyRow(versionAt(version), {other, address, version}, now);
         now += PlannerLease::takeoverTimeout - 1ms;
         BOOST_TEST(!lease.advance(now).has_value());
     }
@@ -72,33 +74,33 @@
 
 BOOST_FIXTURE_TEST_CASE(takesAResignedLeaseAfterTheTakeoverDelay, Fixture)
 {
-    lease.applyRow(1, {{}, address, 4}, start);
+    lease.applyRow(versionAt(1), {{}, address, 4}, start);
     BOOST_TEST(!lease.advance(start + takeoverDelay - 1ms).has_value());
     BOOST_TEST(lease.advance(start + takeoverDelay).has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(detectsAnUnansweredWriteByItsRow, Fixture)
 {
-    lease.applyRow(0, {}, start - takeoverDelay);
+    lease.applyRow(versionAt(0), {}, start - takeoverDelay);
     const auto write = lease.advance(start);
     BOOST_REQUIRE(write.has_value());
-    lease.applyRow(7, write->row, start + 300ms);
+    lease.applyRow(versionAt(7), write->row, start + 300ms);
     BOOST_TEST(lease.isHeld(start + 1s));
-    lease.handleWriteResult(RowWriteResult::Unknown, 0, start + 1500ms);
+    lease.handleWriteResult(RowWriteResult::Unknown, versionAt(0), start + 1500ms);
     BOOST_TEST(lease.isHeld(start + 2s));
 }
 
 BOOST_FIXTURE_TEST_CASE(replacedHolderDoesNotHoldTheLease, Fixture)
 {
     takeLease(start);
-    lease.applyRow(6, {other, address, 3}, start + 500ms);
+    lease.applyRow(versionAt(6), {other, address, 3}, start + 500ms);
     BOOST_TEST(!lease.isHeld(start + 600ms));
 }
 
 BOOST_FIXTURE_TEST_CASE(ignoresOlderRows, Fixture)
 {
     takeLease(start);
-    lease.applyRow(4, {other, address, 3}, start + 500ms);
+    lease.applyRow(versionAt(4), {other, address, 3}, start + 500ms);
     BOOST_TEST(lease.isHeld(start + 600ms));
 }
 
@@ -110,7 +112,7 @@
     const auto write = lease.advance(start + 100ms);
     BOOST_REQUIRE(write.has_value());
     BOOST_TEST(write->row.holder.isEmpty());
-    lease.handleWriteResult(RowWriteResult::Done, 8, start + 110ms);
+    lease.handleWriteResult(RowWriteResult::Done, versionAt(8), start + 110ms);
     BOOST_TEST(!lease.advance(start + 60s).has_value());
 }
 
@@ -124,7 +126,7 @@
             continue;
         BOOST_TEST(lease.isWriting());
         ++writes;
-        lease.handleWriteResult(RowWriteResult::Refused, 0, now + 4ms);
+        lease.handleWriteResult(RowWriteResult::Refused, versionAt(0), now + 4ms);
         BOOST_TEST(!lease.isWriting());
     }
     BOOST_TEST(writes >= 9);
@@ -149,7 +151,7 @@
     const auto write = lease.advance(start + 1s);
     BOOST_REQUIRE(write.has_value());
     BOOST_TEST(write->row.holder.isEmpty());
-    lease.handleWriteResult(RowWriteResult::Done, 6, start + 1s + 5ms);
+    lease.handleWriteResult(RowWriteResult::Done, versionAt(6), start + 1s + 5ms);
     BOOST_TEST(!lease.advance(start + 30s).has_value());
     lease.setYielding(false);
     BOOST_TEST(lease.advance(start + 30s).has_value());
@@ -158,6 +160,34 @@
 BOOST_FIXTURE_TEST_CASE(doesNotTakeTheLeaseWhileOthersShouldPlan, Fixture)
 {
     lease.setYielding(true);
-    lease.applyRow(5, {other, address, 1}, start);
+    lease.applyRow(versionAt(5), {other, address, 1}, start);
     BOOST_TEST(!lease.advance(start + 30s).has_value());
 }
+
+BOOST_FIXTURE_TEST_CASE(lastHolderClaimsTheLeaseOfARestoredStoreAtOnce, Fixture)
+{
+    takeLease(start);
+    // The copy has an earlier planner, under a version number that has been in use since.
+    lease.applyRow({1, 4}, {other, address, 1}, start + 500ms);
+    BOOST_TEST(!lease.isHeld(start + 500ms));
+    const auto write = lease.advance(start + 500ms);
+    BOOST_REQUIRE(write.has_value());
+    BOOST_TEST(write->expectedVersion == 4U);
+    lease.handleWriteResult(RowWriteResult::Done, {1, 5}, start + 505ms);
+    BOOST_TEST(lease.isHeld(start + 505ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(leaseOfAnEarlierEraDoesNotLastInARestoredStore, Fixture)
+{
+    takeLease(start);
+    lease.applyRow({1, 4}, {self, address, 1}, start + 500ms);
+    BOOST_TEST(!lease.isHeld(start + 500ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(earlierHolderInTheCopyWaitsForTheLastOne, Fixture)
+{
+    lease.applyRow(versionAt(70), {other, address, 9}, start);
+    lease.applyRow({1, 4}, {self, address, 1}, start + 500ms);
+    BOOST_TEST(!lease.advance(start + 500ms).has_value());
+    BOOST_TEST(lease.advance(start + 500ms + PlannerLease::renewalInterval).has_value());
+}
--- a/tests/keydecisions/test_readerchoice.cpp
+++ b/tests/keydecisions/test_readerchoice.cpp
@@ -20,7 +20,7 @@
     Renewer made;
     made.host = HostName{host};
     made.row = {Incarnation{host + "/1"}, {"10.0.0.1", 80}, DomainName{domain}, processors};
-    made.version = version;
+    made.version = {0, version};
     return made;
 }
 
--- a/tests/keydecisions/test_renewerbook.cpp
+++ b/tests/keydecisions/test_renewerbook.cpp
@@ -35,8 +35,8 @@
 
     Fixture()
     {
-        registry.applyRow(one, row("one/1"), 1);
-        registry.applyRow(two, row("two/1"), 2);
+        registry.applyRow(one, row("one/1"), {0, 1});
+        registry.applyRow(two, row("two/1"), {0, 2});
     }
 
     Instant freeAt() const
@@ -72,7 +72,7 @@
 {
     registry.recordAnswer(answer(one, "one/1", 5, 2s), start + 100ms);
     registry.recordAnswer(answer(two, "two/1", 5, 2s), start + 100ms);
-    registry.applyRow(two, row("two/2"), 9);
+    registry.applyRow(two, row("two/2"), {0, 9});
     BOOST_TEST((freeAt() == start + timings.staleGrantPeriod() + timings.maxHold()));
 }
 
--- a/tests/keyworld/keysimulation.cpp
+++ b/tests/keyworld/keysimulation.cpp
@@ -67,7 +67,7 @@
     /** State of the directory when the store was last reachable. */
     ServerDirectory directory;
     /** Version of the store up to which the daemon has applied the rows. */
-    std::uint64_t appliedVersion = 0;
+    StoreVersion appliedVersion;
     Instant partitionedFromPeersUntil;
 };
 
@@ -84,12 +84,13 @@
     bool isUp = true;
 };
 
-KeySimulation::KeySimulation(std::uint64_t seed, PlantedFault planted)
+KeySimulation::KeySimulation(std::uint64_t seed, PlantedFault planted, bool hasRestores)
     : m_random(seed)
     , m_planted(planted)
     , m_now(Instant{1000s})
+    , m_hasRestores(hasRestores)
 {
-    m_assignment.service = service;
+    m_store.assignment.service = service;
     for (std::size_t i = 0; i < serverCount; ++i) {
         auto server = std::make_unique<Server>();
         server->index = i;
@@ -110,13 +111,15 @@
 SimulationResult KeySimulation::run()
 {
     const Instant faultsEnd = m_now + 60s;
+    if (m_hasRestores)
+        keepCopies();
     after(2s, [this] { injectFault(); });
     runUntil(faultsEnd);
     m_hasFaults = false;
     runUntil(faultsEnd + 45s);
     int served = 0;
     for (std::size_t cell = 0; cell < cells; ++cell) {
-        const OwnedRange *owned = m_assignment.find(m_servers.front()->leases.keyOf(cell));
+        const OwnedRange *owned = m_store.assignment.find(m_servers.front()->leases.keyOf(cell));
         Server *server = owned ? serverOf(owned->owner) : nullptr;
         served += server && server->leases.holds(cell, m_now) ? 1 : 0;
     }
@@ -147,6 +150,7 @@
     m_hasFaults = false;
     m_start = m_now;
     m_tracedHolders.resize(cells);
+    keepCopies();
     runUntil(m_start + span);
     addToTrace(m_result.violation.empty() ? "one owner throughout" : m_result.violation);
     return m_trace;
@@ -291,7 +295,7 @@
     daemon.isUp = true;
     daemon.frozenUntil = {};
     daemon.directory = {};
-    daemon.appliedVersion = 0;
+    daemon.appliedVersion = {};
     daemon.connectedRuns.clear();
     const std::string name = "d" + std::to_string(index) + "/" + std::to_string(incarnation);
     daemon.coordinator =
@@ -403,38 +407,38 @@
     const bool isLate = isDelayed || (m_hasFaults && happens(0.04));
     const Duration lateBy = isDelayed ? m_commitDelay : Duration{1s + 1ms * randomBelow(5000)};
     const auto answer = [this, index, incarnation, onResult](RowWriteResult end,
-                                                             std::uint64_t version) {
+                                                             const StoreVersion &version) {
         runAtDaemon(index, incarnation, [onResult, end, version] { onResult(end, version); });
     };
     if (!canReachStore(daemon)) {
-        after(1s, [answer] { answer(RowWriteResult::Unknown, 0); });
+        after(1s, [answer] { answer(RowWriteResult::Unknown, {}); });
         return;
     }
     after(isLate ? lateBy : transit(), [=, this] {
-        const std::uint64_t version = apply();
+        const StoreVersion version{m_era, apply()};
         if (isLost || isLate)
             return;
         after(transit(), [=] {
-            answer(version > 0 ? RowWriteResult::Done : RowWriteResult::Refused, version);
+            answer(version.number > 0 ? RowWriteResult::Done : RowWriteResult::Refused, version);
         });
     });
     if (isLost || isLate)
-        after(1500ms, [answer] { answer(RowWriteResult::Unknown, 0); });
+        after(1500ms, [answer] { answer(RowWriteResult::Unknown, {}); });
 }
 
 void KeySimulation::execute(std::size_t index, const WritePlannerRow &action)
 {
     const auto apply = [this, write = action.write]() -> std::uint64_t {
-        if (m_plannerVersion != write.expectedVersion)
+        if (m_store.plannerNumber != write.expectedVersion)
             return 0;
-        if (m_planner.holder != write.row.holder)
+        if (m_store.planner.holder != write.row.holder)
             addToTrace(
                 "planner is "
                 + (write.row.holder.isEmpty() ? std::string{"nobody"} : write.row.holder.value()));
-        m_planner = write.row;
-        return m_plannerVersion = ++m_version;
+        m_store.planner = write.row;
+        return m_store.plannerNumber = ++m_store.number;
     };
-    commit(index, apply, [this, index](RowWriteResult end, std::uint64_t version) {
+    commit(index, apply, [this, index](RowWriteResult end, const StoreVersion &version) {
         m_daemons[index]->coordinator->handlePlannerRowResult(end, version, m_now);
     });
 }
@@ -451,16 +455,16 @@
             owned.previous = {};
     }
     const auto apply = [this, action, next]() -> std::uint64_t {
-        const bool isPlanner = m_plannerVersion == action.plannerVersion;
-        if (!isPlanner || m_assignmentVersion != action.expectedVersion)
+        const bool isPlanner = m_store.plannerNumber == action.plannerVersion;
+        if (!isPlanner || m_store.assignmentNumber != action.expectedVersion)
             return 0;
-        m_assignment = next;
+        m_store.assignment = next;
         ++m_result.moves;
         addToTrace("assignment " + std::to_string(next.sequence) + ", moving "
                    + std::to_string(std::ranges::count_if(next.ranges, &OwnedRange::isMoving)));
-        return m_assignmentVersion = ++m_version;
+        return m_store.assignmentNumber = ++m_store.number;
     };
-    commit(index, apply, [this, index, next](RowWriteResult end, std::uint64_t version) {
+    commit(index, apply, [this, index, next](RowWriteResult end, const StoreVersion &version) {
         m_daemons[index]->coordinator->handleCommitResult(next, end, version, m_now);
     });
 }
@@ -589,13 +593,11 @@
 void KeySimulation::execute(std::size_t index, const QueryRenewer &action)
 {
     const std::uint64_t incarnation = m_daemons[index]->incarnation;
-    std::size_t peer = 0;
-    while (hostOf(peer) != action.renewer.host)
-        ++peer;
+    const std::size_t peer = indexOf(action.renewer.host);
     if (!canReachPeer(*m_daemons[index], *m_daemons[peer]) || (m_hasFaults && happens(0.05)))
         return;
     const KeyAssignment assignment = *m_daemons[index]->coordinator->assignment(service);
-    const std::uint64_t version = m_daemons[index]->coordinator->assignmentVersion(service);
+    const StoreVersion version = m_daemons[index]->coordinator->assignmentVersion(service);
     after(transit(), [=, this] {
         runAtDaemon(peer, m_daemons[peer]->incarnation, [=, this] {
             KeyCoordinator &peerCoordinator = *m_daemons[peer]->coordinator;
@@ -618,20 +620,51 @@
     });
 }
 
+void KeySimulation::execute(std::size_t index, const QueryAssignments &action)
+{
+    const std::uint64_t incarnation = m_daemons[index]->incarnation;
+    const std::size_t peer = indexOf(action.renewer.host);
+    if (!canReachPeer(*m_daemons[index], *m_daemons[peer]) || (m_hasFaults && happens(0.05)))
+        return;
+    after(transit(), [=, this] {
+        runAtDaemon(peer, m_daemons[peer]->incarnation, [=, this] {
+            RememberedAssignments answer =
+                m_daemons[peer]->coordinator->remembered(action.known, m_now);
+            if (m_planted == PlantedFault::ForgetsAssignments)
+                answer.assignments.clear();
+            if (!canReachPeer(*m_daemons[index], *m_daemons[peer]))
+                return;
+            after(transit(), [=, this] {
+                runAtDaemon(index, incarnation, [=, this] {
+                    m_daemons[index]->coordinator->recordRemembered(answer, m_now);
+                });
+            });
+        });
+    });
+}
+
+std::size_t KeySimulation::indexOf(const HostName &host) const
+{
+    std::size_t index = 0;
+    while (hostOf(index) != host)
+        ++index;
+    return index;
+}
+
 void KeySimulation::execute(std::size_t index, const WriteDaemonRow &action)
 {
     const HostName host = hostOf(index);
     const auto apply = [this, host, action]() -> std::uint64_t {
         if (daemonRowVersion(host) != action.expectedVersion)
             return 0;
-        ++m_version;
+        ++m_store.number;
         if (action.row)
-            m_daemonRows[host] = {*action.row, m_version};
+            m_store.daemons[host] = {*action.row, m_store.number};
         else
-            m_daemonRows.erase(host);
-        return m_version;
+            m_store.daemons.erase(host);
+        return m_store.number;
     };
-    commit(index, apply, [this, index](RowWriteResult end, std::uint64_t version) {
+    commit(index, apply, [this, index](RowWriteResult end, const StoreVersion &version) {
         m_daemons[index]->coordinator->handleDaemonRowResult(end, version, m_now);
     });
 }
@@ -642,13 +675,13 @@
         const bool areUnchanged = std::ranges::all_of(action.rows, [this](const auto &row) {
             return daemonRowVersion(row.host) == row.version;
         });
-        if (m_plannerVersion != action.plannerVersion || !areUnchanged)
+        if (m_store.plannerNumber != action.plannerVersion || !areUnchanged)
             return 0;
         for (const DaemonRowVersion &row : action.rows)
-            m_daemonRows.erase(row.host);
-        return ++m_version;
+            m_store.daemons.erase(row.host);
+        return ++m_store.number;
     };
-    commit(index, apply, [this, index](RowWriteResult end, std::uint64_t) {
+    commit(index, apply, [this, index](RowWriteResult end, const StoreVersion &) {
         m_daemons[index]->coordinator->handleRemovalResult(end, m_now);
     });
 }
@@ -656,8 +689,8 @@
 /** \returns the version of the row of \a host, or 0 if it has none. */
 std::uint64_t KeySimulation::daemonRowVersion(const HostName &host) const
 {
-    const auto row = m_daemonRows.find(host);
-    return row == m_daemonRows.end() ? 0 : row->second.second;
+    const auto row = m_store.daemons.find(host);
+    return row == m_store.daemons.end() ? 0 : row->second.second;
 }
 
 /** Follows the rows with consecutive long-polling calls, as the daemon does. */
@@ -667,7 +700,8 @@
     if (!daemon.isUp || daemon.incarnation != incarnation)
         return;
     const bool isStalled = m_now < m_feedsStalledUntil;
-    const bool hasChanges = daemon.appliedVersion != m_version && !isStalled;
+    const bool hasChanges =
+        daemon.appliedVersion != StoreVersion{m_era, m_store.number} && !isStalled;
     const bool hasTimedOut = m_now - sentAt >= maxStoreWait;
     if (!canReachStore(daemon) || (!hasChanges && !hasTimedOut)) {
         const Instant next = canReachStore(daemon) ? sentAt : m_now + 20ms;
@@ -688,23 +722,23 @@
         return;
     }
     // The answer contains the current rows, and arrives later.
-    const KeyAssignment assignment = m_assignment;
-    const std::uint64_t assignmentVersion = m_assignmentVersion;
-    const PlannerRow planner = m_planner;
-    const std::uint64_t plannerVersion = m_plannerVersion;
-    const auto rows = m_daemonRows;
-    const std::uint64_t version = m_version;
+    StoreRows rows = m_store;
+    if (m_planted == PlantedFault::TrustsCopy)
+        rows.assignment.era = m_era;
+    const StoreVersion version{m_era, rows.number};
     after(transitTime, [=, this] {
         runAtDaemon(index, incarnation, [=, this] {
             Daemon &target = *m_daemons[index];
-            target.coordinator->applyPlannerRow(plannerVersion, planner, m_now);
-            if (assignmentVersion > 0)
-                target.coordinator->applyAssignment(assignment, assignmentVersion, m_now);
+            target.coordinator->applyPlannerRow({version.era, rows.plannerNumber}, rows.planner,
+                                                m_now);
+            if (rows.assignmentNumber > 0)
+                target.coordinator->applyAssignment(rows.assignment,
+                                                    {version.era, rows.assignmentNumber}, m_now);
             for (std::size_t i = 0; i < daemonCount; ++i) {
-                const auto row = rows.find(hostOf(i));
-                if (row != rows.end())
-                    target.coordinator->applyDaemonRow(row->first, row->second.second,
-                                                       row->second.first, m_now);
+                const auto row = rows.daemons.find(hostOf(i));
+                if (row != rows.daemons.end())
+                    target.coordinator->applyDaemonRow(
+                        row->first, {version.era, row->second.second}, row->second.first, m_now);
                 else
                     target.coordinator->applyDaemonRow(hostOf(i), version, std::nullopt, m_now);
             }
@@ -887,7 +921,7 @@
 /** Writes the record of a run as soon as the store is available. */
 void KeySimulation::writeRecord(Server &server, std::uint64_t run)
 {
-    if (server.starts != run)
+    if (server.starts != run || !server.isUp)
         return;
     if (m_now < m_storeUnavailableUntil) {
         after(m_storeUnavailableUntil - m_now + 1ms,
@@ -922,12 +956,41 @@
 
 void KeySimulation::injectStoreFault()
 {
+    if (m_hasRestores && happens(0.5)) {
+        restoreStore(100ms + 1ms * randomBelow(4000), 1ms * randomBelow(7000));
+        return;
+    }
     if (happens(0.3))
         m_feedsStalledUntil = m_now + KeyTimings{}.maxFeedLag;
     else
         m_storeUnavailableUntil = m_now + 500ms + 1ms * randomBelow(6000);
 }
 
+void KeySimulation::restoreStore(Duration span, Duration age)
+{
+    makeStoreUnavailable(span);
+    auto copy = m_copies.upper_bound(m_now - age);
+    if (copy == m_copies.begin())
+        return;
+    after(span, [this, rows = std::prev(copy)->second] {
+        m_store = rows;
+        ++m_era;
+        m_copies.clear();
+        m_copies[m_now] = m_store;
+        addToTrace("store restored, era " + std::to_string(m_era));
+    });
+}
+
+/** Keeps copies of the store's rows, for restores. */
+void KeySimulation::keepCopies()
+{
+    if (m_now >= m_storeUnavailableUntil)
+        m_copies[m_now] = m_store;
+    while (!m_copies.empty() && m_copies.begin()->first < m_now - 8s)
+        m_copies.erase(m_copies.begin());
+    after(200ms, [this] { keepCopies(); });
+}
+
 /**
  * Removes the record of a running server that only one daemon of its failure domain can reach. That
  * daemon does not receive the removal, because it is partitioned from the store, or frozen with its
--- a/tests/keyworld/keysimulation.h
+++ b/tests/keyworld/keysimulation.h
@@ -25,6 +25,8 @@
     DelayedBytesArrive,    ///< a grant delayed by a partition arrives after its call timed out
     FenceNotRaised,        ///< a new owner gets a grant under the old fencing token
     RenewsOtherRun,        ///< daemons do not detect that a server has restarted
+    ForgetsAssignments,    ///< daemons remember no assignments that a restored store lacks
+    TrustsCopy,            ///< assignments in the copy count as the last ones after a restore
 };
 
 /** Result of a simulation. */
@@ -44,13 +46,14 @@
  * Simulates daemons, backend servers and a store on a virtual clock, with random faults from a
  * seed. Daemons are killed, frozen, and partitioned from the store or from servers. The store is
  * unavailable, loses answers, executes writes late, and reports no changes for a second. Servers
- * crash, drain, lose their records while they run, and execute grants late. Each step checks that
+ * crash, drain, lose their records while they run, and execute grants late. If \a restores is set,
+ * the store also returns from a copy that is some seconds old. Each step checks that
  * no two servers hold the same key, and that the fencing token rises with each new holder.
  */
 class KeySimulation
 {
 public:
-    KeySimulation(std::uint64_t seed, PlantedFault planted);
+    KeySimulation(std::uint64_t seed, PlantedFault planted, bool hasRestores = false);
     ~KeySimulation();
 
     KeySimulation(const KeySimulation &) = delete;
@@ -78,6 +81,8 @@
     void partitionFromServers(std::size_t index, Duration span);
     void partitionFromPeers(std::size_t index, Duration span);
     void makeStoreUnavailable(Duration span);
+    /** Makes the store unavailable for \a span; it returns with the rows of \a age before. */
+    void restoreStore(Duration span, Duration age);
     void stallFeeds();
     /** Executes the next \a count commits after \a delay, and loses their answers. */
     void delayCommits(int count, Duration delay);
@@ -124,6 +129,7 @@
                              const SendGrant &action);
     void execute(std::size_t index, const SendRelease &action);
     void execute(std::size_t index, const QueryRenewer &action);
+    void execute(std::size_t index, const QueryAssignments &action);
     void execute(std::size_t index, const WriteDaemonRow &action);
     void execute(std::size_t index, const RemoveDaemonRows &action);
     void runAtDaemon(std::size_t index, std::uint64_t incarnation, Step step);
@@ -132,7 +138,7 @@
 
     std::uint64_t daemonRowVersion(const HostName &host) const;
 
-    using CommitHandler = std::function<void(RowWriteResult, std::uint64_t)>;
+    using CommitHandler = std::function<void(RowWriteResult, const StoreVersion &)>;
     void commit(std::size_t index, std::function<std::uint64_t()> apply, CommitHandler onResult);
     void followRows(std::size_t index, std::uint64_t incarnation, Instant sentAt);
     bool canReachPeer(const Daemon &from, const Daemon &to) const;
@@ -146,6 +152,8 @@
     void connectServers(std::size_t index);
     void recordConnectionLost(std::size_t index, const ServerName &name);
     void injectStoreFault();
+    void keepCopies();
+    std::size_t indexOf(const HostName &host) const;
     void injectViewFault();
     void check();
     void addToTrace(const std::string &what);
@@ -159,13 +167,22 @@
     std::vector<std::unique_ptr<Daemon>> m_daemons;
     std::vector<std::unique_ptr<Server>> m_servers;
     ServerDirectory m_directory;
-    /** Version of the last change of any row. */
-    std::uint64_t m_version = 0;
-    std::uint64_t m_plannerVersion = 0;
-    PlannerRow m_planner;
-    std::uint64_t m_assignmentVersion = 0;
-    KeyAssignment m_assignment;
-    std::map<HostName, std::pair<DaemonRow, std::uint64_t>> m_daemonRows;
+    /** The rows of the store and the numbers of their versions. */
+    struct StoreRows
+    {
+        /** Number of the last change of any row. */
+        std::uint64_t number = 0;
+        std::uint64_t plannerNumber = 0;
+        PlannerRow planner;
+        std::uint64_t assignmentNumber = 0;
+        KeyAssignment assignment;
+        std::map<HostName, std::pair<DaemonRow, std::uint64_t>> daemons;
+    };
+    StoreRows m_store;
+    std::uint64_t m_era = 1;
+    bool m_hasRestores = false;
+    /** Earlier rows of the store, and their time. */
+    std::map<Instant, StoreRows> m_copies;
     Instant m_storeUnavailableUntil;
     /** Until then feeds deliver no changes. */
     Instant m_feedsStalledUntil;
--- a/tests/keyworld/test_keyworld.cpp
+++ b/tests/keyworld/test_keyworld.cpp
@@ -47,10 +47,16 @@
     PlantedBug{PlantedFault::RenewsOtherRun, "another run is renewed under the old fence"},
 };
 
-std::optional<std::uint64_t> firstViolatingSeed(PlantedFault planted, std::uint64_t count)
+constexpr std::array plantedRestoreBugs = {
+    PlantedBug{PlantedFault::ForgetsAssignments, "assignments that the store lost are forgotten"},
+    PlantedBug{PlantedFault::TrustsCopy, "assignments in the copy count as the last ones"},
+};
+
+std::optional<std::uint64_t> firstViolatingSeed(PlantedFault planted, std::uint64_t count,
+                                                bool hasRestores = false)
 {
     for (std::uint64_t seed = 1; seed <= count; ++seed) {
-        if (!KeySimulation{seed, planted}.run().violation.empty())
+        if (!KeySimulation{seed, planted, hasRestores}.run().violation.empty())
             return seed;
     }
     return std::nullopt;
@@ -71,6 +77,25 @@
     BOOST_TEST(moves > 10 * static_cast<int>(seeds));
 }
 
+BOOST_AUTO_TEST_CASE(keyHasOneOwnerAlthoughTheStoreReturnsFromOlderCopies)
+{
+    const std::uint64_t seeds = seedCount();
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const SimulationResult result = KeySimulation{seed, PlantedFault::None, true}.run();
+        BOOST_TEST(result.violation == "", "seed " << seed << ": " << result.violation);
+        BOOST_TEST(result.servedAtEnd == 1.0, "seed " << seed << " serves " << result.servedAtEnd);
+    }
+}
+
+BOOST_DATA_TEST_CASE(searchFindsPlantedRestoreBug, boost::unit_test::data::make(plantedRestoreBugs),
+                     bug)
+{
+    const std::optional<std::uint64_t> seed = firstViolatingSeed(bug.planted, maxSeeds, true);
+    BOOST_TEST(seed.has_value());
+    if (seed)
+        BOOST_TEST_MESSAGE(bug.name << " found by seed " << *seed);
+}
+
 BOOST_DATA_TEST_CASE(searchFindsPlantedBug, boost::unit_test::data::make(plantedBugs), bug)
 {
     const std::optional<std::uint64_t> seed = firstViolatingSeed(bug.planted, maxSeeds);
--- a/tests/knownrows/test_knownrows.cpp
+++ b/tests/knownrows/test_knownrows.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE KnownRow
 
 #include "knownrows.h"
+#include "support/storeversions.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -9,22 +10,23 @@
 #include <vector>
 
 using namespace bulrush;
+using namespace bulrush::test;
 
 namespace {
 
 platform::StoreRow row(const std::string &key, std::uint64_t version)
 {
-    return {key, key + std::to_string(version), version, false};
+    return {key, key + std::to_string(version), versionAt(version), false};
 }
 
 platform::StoreRow removed(const std::string &key, std::uint64_t version)
 {
-    return {key, {}, version, true};
+    return {key, {}, versionAt(version), true};
 }
 
 platform::RowsOutcome rowsAt(std::uint64_t version, std::vector<platform::StoreRow> rows)
 {
-    return {{}, std::move(rows), version};
+    return {{}, std::move(rows), versionAt(version)};
 }
 
 /** \returns the versions of rows by key, removed ones left out. */
@@ -33,7 +35,7 @@
     std::map<std::string, std::uint64_t> versions;
     for (const platform::StoreRow &known : rows) {
         if (!known.isRemoved)
-            versions[known.key] = known.version;
+            versions[known.key] = known.version.number;
     }
     return versions;
 }
@@ -46,14 +48,14 @@
 {
     KnownRows rows;
     BOOST_TEST(!rows.isLoaded());
-    BOOST_TEST(rows.version() == 0U);
+    BOOST_TEST(rows.version() == versionAt(0));
     rows.replaceAll(rowsAt(10, {row("a", 3), row("b", 7)}), false);
     rows.applyChanges(rowsAt(14, {row("a", 12), removed("b", 13)}));
-    const RelayedRows changes = rows.since(10);
+    const RelayedRows changes = rows.since(versionAt(10));
     BOOST_TEST(!changes.isComplete);
-    BOOST_TEST(changes.version == 14U);
+    BOOST_TEST(changes.version == versionAt(14));
     BOOST_TEST(changes.rows.size() == 2U);
-    const RelayedRows all = rows.since(9);
+    const RelayedRows all = rows.since(versionAt(9));
     BOOST_TEST(all.isComplete);
     BOOST_TEST((versionsOf(all.rows) == Versions{{"a", 12}}));
 }
@@ -65,7 +67,7 @@
     rows.applyChanges(rowsAt(20, {row("a", 18), removed("b", 19)}));
     platform::RowsOutcome read = rowsAt(15, {row("a", 3), row("b", 7), row("d", 15)});
     rows.mergeLaterChanges(read);
-    BOOST_TEST(read.version == 20U);
+    BOOST_TEST(read.version == versionAt(20));
     BOOST_TEST((versionsOf(read.rows) == Versions{{"a", 18}, {"d", 15}}));
 }
 
@@ -75,7 +77,7 @@
     rows.replaceAll(rowsAt(20, {row("a", 18)}), false);
     platform::RowsOutcome read = rowsAt(15, {row("a", 3), row("b", 7)});
     rows.mergeLaterChanges(read);
-    BOOST_TEST(read.version == 20U);
+    BOOST_TEST(read.version == versionAt(20));
     BOOST_TEST((versionsOf(read.rows) == Versions{{"a", 18}}));
 }
 
@@ -85,7 +87,7 @@
     rows.replaceAll(rowsAt(20, {row("a", 18), row("b", 19)}), false);
     platform::RowsOutcome read = rowsAt(22, {row("a", 21)});
     rows.mergeLaterChanges(read);
-    BOOST_TEST(read.version == 22U);
+    BOOST_TEST(read.version == versionAt(22));
     BOOST_TEST((versionsOf(read.rows) == Versions{{"a", 21}}));
 }
 
@@ -97,8 +99,34 @@
     for (std::size_t i = 0; i <= KnownRows::maxRemoved; ++i)
         many.push_back(removed("r" + std::to_string(i), 2));
     rows.applyChanges(rowsAt(2, many));
-    const RelayedRows result = rows.since(1);
+    const RelayedRows result = rows.since(versionAt(1));
     BOOST_TEST(result.isComplete);
     BOOST_TEST(result.isAfterOutage);
     BOOST_TEST((versionsOf(result.rows) == Versions{{"a", 1}}));
 }
+
+BOOST_AUTO_TEST_CASE(rowsOfALaterEraReplaceAllRows)
+{
+    KnownRows rows;
+    rows.replaceAll(rowsAt(20, {row("a", 18), row("b", 19)}), false);
+    platform::RowsOutcome restored{{}, {{"a", "old", {1, 3}, false}}, {1, 5}};
+    rows.mergeLaterChanges(restored);
+    BOOST_TEST(restored.version == (StoreVersion{1, 5}));
+    rows.replaceAll(restored, true);
+    BOOST_TEST(rows.version() == (StoreVersion{1, 5}));
+    const RelayedRows all = rows.since(versionAt(20));
+    BOOST_TEST(all.isComplete);
+    BOOST_TEST(all.isAfterOutage);
+    BOOST_TEST((versionsOf(all.rows) == Versions{{"a", 3}}));
+}
+
+BOOST_AUTO_TEST_CASE(relayedRowsKeepTheirEra)
+{
+    KnownRows rows;
+    rows.replaceAll({{}, {{"a", "one", {2, 3}, false}}, {2, 5}}, false);
+    const auto decoded = decodeRows(encodeRows(rows.since({1, 70})));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded->version == (StoreVersion{2, 5}));
+    BOOST_REQUIRE(decoded->rows.size() == 1U);
+    BOOST_TEST(decoded->rows[0].version == (StoreVersion{2, 3}));
+}
--- a/tests/platformadapter/test_mutations.cpp
+++ b/tests/platformadapter/test_mutations.cpp
@@ -84,7 +84,7 @@
          R"({"rows":[{"key":"a","value":"bm9kZS0x","rowVersion":4},{"key":"b","rowVersion":5,)"
          R"("tombstone":true}],"truncated":false,"rowVersion":9,"nowS":51.23})",
          [](const std::string &text) {
-             return !decodeRowsPage(text).outcome.error;
+             return !decodeRowsPage(text, 0).outcome.error;
          }},
         {"base64", "bm9kZS0x",
          [](const std::string &text) {
@@ -113,7 +113,7 @@
              return io::decodeCrashRow(text).has_value();
          }},
         {"question",
-         io::encodeRenewalQuery({assignment.service, assignment, 12, {ServerName{"one"}}}),
+         io::encodeRenewalQuery({assignment.service, assignment, {0, 12}, {ServerName{"one"}}}),
          [](const std::string &text) {
              return io::decodeRenewalQuery(text).has_value();
          }},
--- a/tests/platformadapter/test_platformformats.cpp
+++ b/tests/platformadapter/test_platformformats.cpp
@@ -194,7 +194,8 @@
         R"({"rows":[{"key":"a","value":"bm9kZS0x","rowVersion":4},{"key":"b","value":"*","rowVersion":5},
             {"key":"c","rowVersion":6},{"value":"bm9kZS0x","rowVersion":7},{"key":"d","rowVersion":"x"},
             3,{"key":"e","rowVersion":8,"tombstone":"yes","value":"bm9kZS0x"},
-            {"key":"f","rowVersion":9,"tombstone":true}],"rowVersion":9,"nowS":1e300})");
+            {"key":"f","rowVersion":9,"tombstone":true}],"rowVersion":9,"nowS":1e300})",
+        2);
     BOOST_TEST(!page.outcome.error);
     BOOST_REQUIRE(page.outcome.rows.size() == 5U);
     BOOST_TEST(page.outcome.rows[0].value == "node-1");
@@ -204,7 +205,7 @@
     BOOST_TEST(page.outcome.rows[4].isRemoved);
     BOOST_TEST(page.outcome.skipped == 3U);
     BOOST_TEST(!page.outcome.storeTime.has_value());
-    BOOST_TEST(decodeRowsPage("[]").outcome.error == StoreError::BadAnswer);
+    BOOST_TEST(decodeRowsPage("[]", 2).outcome.error == StoreError::BadAnswer);
 }
 
 BOOST_AUTO_TEST_CASE(keyCallsNameServerAndLastKey)
--- a/tests/platformadapter/test_storeclient.cpp
+++ b/tests/platformadapter/test_storeclient.cpp
@@ -6,6 +6,7 @@
 #include "process/scalartype.h"
 #include "standinprocess/childprocess.h"
 #include "standinprocess/synchttpclient.h"
+#include "support/storeversions.h"
 
 #include <asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
@@ -48,7 +49,7 @@
         return await<RowsOutcome>([&](auto handler) { store.read(table, handler); });
     }
 
-    RowsOutcome follow(std::uint64_t version, Duration wait)
+    RowsOutcome follow(const StoreVersion &version, Duration wait)
     {
         return await<RowsOutcome>([&](auto handler) { store.follow("t", version, wait, handler); });
     }
@@ -71,10 +72,12 @@
     const CommitOutcome firstCommit = commit({{"a", 0, "one\n\x01"}, {"b", 0, "two"}});
     BOOST_TEST(!firstCommit.error);
     BOOST_TEST(commit({{"a", 0, "again"}}).error == StoreError::ConditionFailed);
-    BOOST_TEST(commit({{"a", firstCommit.version, "", RowChange::None}, {"c", 7, "no"}}).error
-               == StoreError::ConditionFailed);
-    BOOST_TEST(!commit({{"a", firstCommit.version, "", RowChange::None}, {"c", 0, "yes"}}).error);
-    BOOST_TEST(!commit({{"b", firstCommit.version, "", RowChange::Remove}}).error);
+    BOOST_TEST(
+        commit({{"a", firstCommit.version.number, "", RowChange::None}, {"c", 7, "no"}}).error
+        == StoreError::ConditionFailed);
+    BOOST_TEST(
+        !commit({{"a", firstCommit.version.number, "", RowChange::None}, {"c", 0, "yes"}}).error);
+    BOOST_TEST(!commit({{"b", firstCommit.version.number, "", RowChange::Remove}}).error);
     const RowsOutcome rows = read("t");
     BOOST_TEST(!rows.error);
     BOOST_REQUIRE(rows.rows.size() == 2U);
@@ -158,7 +161,7 @@
     const RowsOutcome unchanged = follow(initialCommit.version, 100ms);
     BOOST_TEST(!unchanged.error);
     BOOST_TEST(unchanged.rows.empty());
-    commit({{"a", initialCommit.version, "", RowChange::Remove}});
+    commit({{"a", initialCommit.version.number, "", RowChange::Remove}});
     const RowsOutcome changed = follow(initialCommit.version, 5s);
     BOOST_REQUIRE(changed.rows.size() == 1U);
     BOOST_TEST(changed.rows[0].isRemoved);
@@ -187,3 +190,22 @@
     loop.run_for(100ms);
     BOOST_TEST(commit({{"y", 0, "1"}}).error == StoreError::NotExecuted);
 }
+
+BOOST_FIXTURE_TEST_CASE(followFailsIfTheStoreWasRestored, Fixture)
+{
+    commit({{"a", 0, "1"}});
+    control(R"({"keepCopy":true})");
+    const CommitOutcome lost = commit({{"b", 0, "2"}});
+    control(R"({"restoreCopy":true})");
+    BOOST_TEST(follow(lost.version, 100ms).error == StoreError::Restored);
+    // The store has such a version again, which is not the one that the caller knows.
+    const CommitOutcome again = commit({{"c", 0, "3"}});
+    BOOST_TEST(again.version.number == lost.version.number);
+    BOOST_TEST(again.version > lost.version);
+    BOOST_TEST(follow(lost.version, 100ms).error == StoreError::Restored);
+    const RowsOutcome rows = read("t");
+    BOOST_TEST(rows.version == again.version);
+    BOOST_TEST(rows.rows.size() == 2U);
+    BOOST_TEST(!follow(rows.version, 100ms).error);
+    BOOST_TEST(follow({rows.version.era + 1, 1}, 100ms).error == StoreError::OutdatedEra);
+}
--- a/tests/rowsworld/rowssimulation.cpp
+++ b/tests/rowsworld/rowssimulation.cpp
@@ -620,7 +620,7 @@
         const Daemon &other = *m_daemons[row.daemon];
         Renewer renewer;
         renewer.host = other.host;
-        renewer.version = row.writtenAs;
+        renewer.version = {0, row.writtenAs};
         // The port of the address holds the daemon's index in this simulation.
         renewer.row = {Incarnation{other.host.value()},
                        {"", static_cast<std::uint16_t>(row.daemon)},
--- a/tests/storeclock/test_storeclock.cpp
+++ b/tests/storeclock/test_storeclock.cpp
@@ -17,6 +17,8 @@
 const Instant start{1000s};
 
 /** \returns the reading of the store's clock at \a given, rounded as by the store. */
+constexpr std::uint64_t era = 1;
+
 Duration readingAt(Instant given)
 {
     return std::chrono::floor<std::chrono::milliseconds>(given.time_since_epoch() + storeOffset)
@@ -29,15 +31,15 @@
 {
     StoreClock clock;
     const Instant given = start + 1700ms;
-    BOOST_TEST((clock.givenAt(start, given + 2ms, readingAt(given)) == start));
+    BOOST_TEST((clock.givenAt(start, given + 2ms, readingAt(given), era) == start));
 }
 
 BOOST_AUTO_TEST_CASE(quickAnswerDatesLaterLongCalls)
 {
     StoreClock clock;
-    clock.givenAt(start, start + 4ms, readingAt(start + 2ms));
+    clock.givenAt(start, start + 4ms, readingAt(start + 2ms), era);
     const Instant given = start + 1800ms;
-    const Instant estimated = clock.givenAt(start + 10ms, given + 2ms, readingAt(given));
+    const Instant estimated = clock.givenAt(start + 10ms, given + 2ms, readingAt(given), era);
     BOOST_TEST((estimated <= given));
     BOOST_TEST((given - estimated < 40ms));
 }
@@ -45,9 +47,9 @@
 BOOST_AUTO_TEST_CASE(boundIsRelaxedByTheClockDrift)
 {
     StoreClock clock;
-    clock.givenAt(start, start + 4ms, readingAt(start + 2ms));
+    clock.givenAt(start, start + 4ms, readingAt(start + 2ms), era);
     const Instant given = start + 100s;
-    const Instant estimated = clock.givenAt(given - 2s, given, readingAt(given));
+    const Instant estimated = clock.givenAt(given - 2s, given, readingAt(given), era);
     BOOST_TEST((estimated <= given - 100ms));
     BOOST_TEST((given - estimated < 150ms));
 }
@@ -55,20 +57,20 @@
 BOOST_AUTO_TEST_CASE(neverDatesAnAnswerBeforeItsSendTime)
 {
     StoreClock clock;
-    clock.givenAt(start, start + 2s, readingAt(start + 1900ms));
+    clock.givenAt(start, start + 2s, readingAt(start + 1900ms), era);
     const Instant sent = start + 3s;
-    BOOST_TEST((clock.givenAt(sent, sent + 4ms, readingAt(sent + 2ms)) >= sent));
+    BOOST_TEST((clock.givenAt(sent, sent + 4ms, readingAt(sent + 2ms), era) >= sent));
 }
 
 BOOST_AUTO_TEST_CASE(detectsAChangeOfTheStoreClock)
 {
     StoreClock clock;
-    clock.givenAt(start, start + 4ms, readingAt(start + 2ms));
+    clock.givenAt(start, start + 4ms, readingAt(start + 2ms), era);
     const Instant sent = start + 1s;
     // The store's clock has jumped: by the old bound the answer would be dated in the future.
-    BOOST_TEST((clock.givenAt(sent, sent + 1500ms, readingAt(sent + 1s) + 1h) == sent));
+    BOOST_TEST((clock.givenAt(sent, sent + 1500ms, readingAt(sent + 1s) + 1h, era) == sent));
     const Instant given = sent + 4s;
-    const Instant estimated = clock.givenAt(sent + 2s, given + 1ms, readingAt(given) + 1h);
+    const Instant estimated = clock.givenAt(sent + 2s, given + 1ms, readingAt(given) + 1h, era);
     BOOST_TEST((estimated <= given));
 }
 
@@ -89,10 +91,22 @@
             const Instant received = given + std::chrono::microseconds{transitTime(random)};
             const Duration passed{
                 static_cast<std::int64_t>(static_cast<double>((given - start).count()) * rate)};
-            const Instant estimated = clock.givenAt(sent, received, readingAt(start + passed));
+            const Instant estimated = clock.givenAt(sent, received, readingAt(start + passed), era);
             BOOST_REQUIRE((estimated <= given));
             BOOST_REQUIRE((estimated >= sent));
             now = received;
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(boundOfAnEarlierEraDatesNoAnswer)
+{
+    StoreClock clock;
+    clock.givenAt(start, start + 4ms, readingAt(start + 2ms), era);
+    // The restored store's clock is ahead by less than the wait took.
+    const Instant sent = start + 1s;
+    const Instant given = sent + 100ms;
+    const Instant received = sent + 1900ms;
+    const Instant estimated = clock.givenAt(sent, received, readingAt(given) + 1500ms, era + 1);
+    BOOST_TEST((estimated <= given));
+}
