Keep what is known of servers until a restored store has later records

A record in the copy may show a server as ready that has drained or is gone since. A server's record is numbered by its seq, so the later of two can be told whatever the store forgot: a record that is not later does not bring a server back, make it cold again or end its draining. A server that was gone returns if its record stays for longer than that of a stopped one would; a server whose record is missing has time to register again.

Without the change serverThatTheCopyShowsAsReadyStaysLeaving follows the copy, as applyRecord() takes any record as the latest. test_serverdirectory has four cases.

--- a/src/libbulrush/process/serverdirectory.cpp
+++ b/src/libbulrush/process/serverdirectory.cpp
@@ -1,7 +1,6 @@
 #include "process/serverdirectory.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace bulrush {
@@ -14,6 +13,30 @@
         applyRecord(record, now, unchangedUntil);
         present.insert(record.id);
     }
+    markMissing(present, isAfterOutage, now);
+}
+
+void ServerDirectory::applyRestored(std::span<const ServerRecord> records, Instant now,
+                                    Instant unchangedUntil)
+{
+    std::set<ServerName> present;
+    for (const ServerRecord &record : records) {
+        present.insert(record.id);
+        const auto known = m_servers.find(record.id);
+        if (known == m_servers.end() || record.sequence > known->second.record.sequence)
+            applyRecord(record, now, unchangedUntil);
+        else if (known->second.removedSince)
+            known->second.restoredSince = now;
+        else
+            known->second.missingSince.reset();
+    }
+    markMissing(present, true, now);
+}
+
+/** Handles servers whose records are missing from the complete set. */
+void ServerDirectory::markMissing(const std::set<ServerName> &present, bool isAfterOutage,
+                                  Instant now)
+{
     for (auto &[id, server] : m_servers) {
         if (present.contains(id) || server.removedSince)
             continue;
@@ -33,7 +56,7 @@
         supersedeEarlierRuns(record, now);
     }
     // A record that is only read again says nothing new about the remaining time.
-    if (isNew || server.record != record)
+    if (isNew || !server.record.hasSameContent(record))
         server.coldUntil = now + record.coldRemaining;
     server.record = record;
     server.coldRate = coldStartOf(record.service).rate;
@@ -47,6 +70,7 @@
         return; // an outdated record
     server.removedSince.reset();
     server.missingSince.reset();
+    server.restoredSince.reset();
     if (!record.isDraining)
         server.drainsAfter.reset();
     else if (!server.drainsAfter)
@@ -80,7 +104,10 @@
 void ServerDirectory::remove(const ServerName &recordName, Instant now)
 {
     for (auto &[id, server] : m_servers) {
-        if (server.record.nameInRecord() == recordName && !server.removedSince)
+        if (server.record.nameInRecord() != recordName)
+            continue;
+        server.restoredSince.reset();
+        if (!server.removedSince)
             server.removedSince = now;
     }
 }
@@ -128,6 +155,11 @@
     }
 }
 
+bool ServerDirectory::hasReturned(const DomainName &domain) const
+{
+    return m_returnedAt.contains(domain) && !m_evacuations.contains(domain);
+}
+
 void ServerDirectory::applyReturn(const DomainName &domain, Instant now)
 {
     m_evacuations.erase(domain);
@@ -154,6 +186,12 @@
 {
     bool hasChanged = false;
     for (auto &[id, server] : m_servers) {
+        if (server.restoredSince && now - *server.restoredSince >= restoredRecordExpiry
+            && !server.hasStopped && !server.laterRun) {
+            server.removedSince.reset();
+            server.restoredSince.reset();
+            hasChanged = true;
+        }
         if (server.removedSince || !server.missingSince
             || now - *server.missingSince < reappearanceTimeout)
             continue;
--- a/src/libbulrush/process/serverdirectory.h
+++ b/src/libbulrush/process/serverdirectory.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -32,6 +33,11 @@
      * Set while its record is missing after a store outage; removed unless it reappears in time.
      */
     std::optional<Instant> missingSince;
+    /**
+     * Set while it is removed although the copy from which the store was restored has its record:
+     * if the record stays, the server still writes it.
+     */
+    std::optional<Instant> restoredSince = std::nullopt;
     /**
      * Set while its failure domain is evacuated: the last instant at which the domain was known not
      * to be.
@@ -75,6 +81,11 @@
     static constexpr Duration reappearanceTimeout = std::chrono::milliseconds{2200};
     /** Servers without a record are retained for this long, so that their keys can be released. */
     static constexpr Duration removedRetention = std::chrono::seconds{30};
+    /**
+     * The record of a server that has stopped lasts for at most this long in a restored store:
+     * three heartbeats, 2.6 s, and the store's delay.
+     */
+    static constexpr Duration restoredRecordExpiry = std::chrono::milliseconds{3500};
 
     /**
      * Applies the complete set of records. \a isAfterOutage means that the store was unavailable,
@@ -84,6 +95,14 @@
     void applyAll(std::span<const ServerRecord> records, bool isAfterOutage, Instant now,
                   Instant unchangedUntil);
 
+    /**
+     * Applies the complete set of records after the store was restored from an older copy, when
+     * records that were as applied before until \a unchangedUntil may be older or missing. What is
+     * known of a server stays until it has written a later record, or has not written the missing
+     * one in time.
+     */
+    void applyRestored(std::span<const ServerRecord> records, Instant now, Instant unchangedUntil);
+
     /**
      * Applies a new or changed record, which had not changed until \a unchangedUntil. Earlier runs
      * of the same server have stopped.
@@ -120,6 +139,9 @@
      */
     void applyReturn(const DomainName &domain, Instant now);
 
+    /** \returns whether an evacuation of \a domain has ended, and none has begun since. */
+    bool hasReturned(const DomainName &domain) const;
+
     /** \returns the evacuated domains, which may have no servers. */
     const std::map<DomainName, Evacuation> &evacuations() const;
 
@@ -139,6 +161,7 @@
     const std::map<ServerName, KnownServer> &servers() const;
 
 private:
+    void markMissing(const std::set<ServerName> &present, bool isAfterOutage, Instant now);
     void supersedeEarlierRuns(const ServerRecord &record, Instant now);
     ColdStart coldStartOf(const ServiceName &service) const;
     void extendColdTime(KnownServer &server) const;
--- a/src/libbulrush/process/serverrecord.h
+++ b/src/libbulrush/process/serverrecord.h
@@ -27,9 +27,14 @@
      * is \a id.
      */
     ServerName recordName = {};
+    /** Rises with each write of this run's record. */
+    std::uint64_t sequence = 0;
 
     bool operator==(const ServerRecord &) const = default;
 
+    /** \returns whether this and \a other differ at most in their sequences. */
+    bool hasSameContent(const ServerRecord &other) const;
+
     /** \returns the name of this run's record in the store. */
     const ServerName &nameInRecord() const;
 
@@ -45,6 +50,13 @@
     return recordName.isEmpty() ? id : recordName;
 }
 
+inline bool ServerRecord::hasSameContent(const ServerRecord &other) const
+{
+    ServerRecord copy = other;
+    copy.sequence = sequence;
+    return *this == copy;
+}
+
 inline bool ServerRecord::isOtherRunOf(const ServerRecord &other) const
 {
     return id != other.id && nameInRecord() == other.nameInRecord();
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -245,7 +245,9 @@
         else
             m_directory.applyRecord(*record, now, change.unchangedUntil);
     }
-    if (change.isComplete)
+    if (change.isRestored)
+        m_directory.applyRestored(records, now, change.unchangedUntil);
+    else if (change.isComplete)
         m_directory.applyAll(records, change.isAfterOutage, now, change.unchangedUntil);
     m_hasServers = true;
     publish();
--- a/tests/entryfleet/test_entrystorerestored.cpp
+++ b/tests/entryfleet/test_entrystorerestored.cpp
@@ -152,6 +152,15 @@
     BOOST_TEST(firstOverlap() == "");
 }
 
+BOOST_FIXTURE_TEST_CASE(serverThatTheCopyShowsAsReadyStaysLeaving, RestoredFleet)
+{
+    writeRecord("p1", "draining");
+    const auto since = Clock::now();
+    std::this_thread::sleep_for(1s);
+    restoreAfter(500ms);
+    BOOST_TEST(lastPaymentAt("p1", since, 8s) <= seconds(drainBound));
+}
+
 BOOST_FIXTURE_TEST_CASE(callsToARestoredStoreStayFew, RestoredFleet)
 {
     const std::uint64_t atRest = callsOfAll();
--- a/tests/routing/test_serverdirectory.cpp
+++ b/tests/routing/test_serverdirectory.cpp
@@ -18,6 +18,12 @@
     return {ServerName{id}, ServiceName{"s"}, {"10.0.0.1", 80}, DomainName{"a"}, 3, isDraining, {}};
 }
 
+ServerRecord numbered(ServerRecord record, std::uint64_t sequence)
+{
+    record.sequence = sequence;
+    return record;
+}
+
 bool isReady(const ServerDirectory &directory, const std::string &id)
 {
     const KnownServer *server = directory.find(ServerName{id});
@@ -210,3 +216,61 @@
     directory.applyRecord(record("i-1"), start + 2s, start + 2s);
     BOOST_TEST(!directory.find(ServerName{"i-1"})->isReady());
 }
+
+BOOST_AUTO_TEST_CASE(recordsOfARestoredStoreDoNotBringLeavingServersBack)
+{
+    ServerDirectory directory;
+    const std::vector<ServerRecord> copy{numbered(record("draining"), 4),
+                                         numbered(record("gone"), 4)};
+    directory.applyAll(copy, false, start, start);
+    directory.applyRecord(numbered(record("draining", true), 9), start + 1s, start + 900ms);
+    directory.remove(ServerName{"gone"}, start + 1s);
+    directory.applyRestored(copy, start + 2s, start + 1s);
+    BOOST_TEST(!isReady(directory, "draining"));
+    BOOST_TEST((directory.find(ServerName{"draining"})->drainsAfter == start + 900ms));
+    BOOST_TEST(!isReady(directory, "gone"));
+    // The record of a server that has stopped expires.
+    directory.remove(ServerName{"gone"}, start + 4s);
+    directory.advance(start + 20s);
+    BOOST_TEST(!isReady(directory, "gone"));
+}
+
+BOOST_AUTO_TEST_CASE(removedServerReturnsIfItsRecordStaysInARestoredStore)
+{
+    ServerDirectory directory;
+    const std::vector<ServerRecord> copy{numbered(record("one"), 4), numbered(record("two"), 4)};
+    directory.applyAll(copy, false, start, start);
+    directory.remove(ServerName{"one"}, start + 1s);
+    directory.remove(ServerName{"two"}, start + 1s);
+    directory.applyRestored(copy, start + 2s, start + 1s);
+    directory.applyRecord(numbered(record("two"), 5), start + 2500ms, start + 2400ms);
+    BOOST_TEST(isReady(directory, "two"));
+    directory.advance(start + 2s + ServerDirectory::restoredRecordExpiry - 1ms);
+    BOOST_TEST(!isReady(directory, "one"));
+    BOOST_TEST(directory.advance(start + 2s + ServerDirectory::restoredRecordExpiry));
+    BOOST_TEST(isReady(directory, "one"));
+}
+
+BOOST_AUTO_TEST_CASE(serversThatARestoredStoreLacksHaveTimeToRegisterAgain)
+{
+    ServerDirectory directory;
+    directory.applyRecord(numbered(record("late"), 1), start, start);
+    directory.applyRecord(numbered(record("lost"), 1), start, start);
+    directory.applyRestored({}, start + 1s, start);
+    BOOST_TEST(isReady(directory, "late"));
+    directory.applyRecord(numbered(record("late"), 2), start + 2s, start + 1s);
+    directory.advance(start + 1s + ServerDirectory::reappearanceTimeout);
+    BOOST_TEST(isReady(directory, "late"));
+    BOOST_TEST(!isReady(directory, "lost"));
+}
+
+BOOST_AUTO_TEST_CASE(olderRecordInARestoredStoreDoesNotMakeAServerColdAgain)
+{
+    ServerDirectory directory;
+    ServerRecord cold = numbered(record("one"), 1);
+    cold.coldRemaining = 5s;
+    directory.applyRecord(cold, start, start);
+    directory.applyRecord(numbered(record("one"), 2), start + 5s, start + 5s);
+    directory.applyRestored({{cold}}, start + 6s, start + 5s);
+    BOOST_TEST(!directory.find(ServerName{"one"})->isCold(start + 6s));
+}
