Keep evacuations that a restored store lacks until operators had time

The copy may lack the row of an evacuation, or still have that of one that has ended. Operators write theirs again. For ten seconds what was known before stays in force where the copy differs; after that the store's rows count.

Two cases of test_entrystorerestored.

--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -115,6 +115,7 @@
 
 void StatePublisher::advance(Instant now)
 {
+    advanceEvacuations(now);
     if (m_directory.advance(now))
         publish();
     reportFreshness();
@@ -125,13 +126,37 @@
     for (const platform::StoreRow &row : change.rows) {
         if (row.key == platform::configKey && !row.isRemoved)
             applyConfig(row, change);
-        else if (row.key.starts_with(platform::evacuationPrefix))
+    }
+    if (change.isRestored)
+        m_evacuationsDueAt = io::hostNow() + operatorRewritePeriod;
+    applyEvacuations(change);
+}
+
+void StatePublisher::applyEvacuations(const TableChange &change)
+{
+    // Rows that the store restored may be older than what is known here.
+    const bool mayBeOutdated = change.isComplete && m_evacuationsDueAt;
+    for (const platform::StoreRow &row : change.rows) {
+        if (!row.key.starts_with(platform::evacuationPrefix))
+            continue;
+        const DomainName domain{row.key.substr(platform::evacuationPrefix.size())};
+        if (!mayBeOutdated || !m_directory.hasReturned(domain))
             applyEvacuation(row, change);
     }
-    if (change.isComplete)
+    if (change.isComplete && !mayBeOutdated)
         applyMissingEvacuations(change);
 }
 
+/** Follows the restored rows of evacuations, once operators had time to write theirs again. */
+void StatePublisher::advanceEvacuations(Instant now)
+{
+    if (!m_evacuationsDueAt || now < *m_evacuationsDueAt || !m_configs.hasRows())
+        return;
+    m_evacuationsDueAt.reset();
+    RelayedRows all = m_configs.rowsSince({}, now);
+    applyEvacuations({std::move(all.rows), all.version, true, false, m_configs.confirmedAt()});
+}
+
 void StatePublisher::applyConfig(const platform::StoreRow &row, const TableChange &change)
 {
     std::variant<RoutingConfig, std::string> decoded = platform::decodeConfig(row.value);
--- a/src/libbulrushentry/statepublisher.h
+++ b/src/libbulrushentry/statepublisher.h
@@ -30,6 +30,13 @@
     /** Called with the age of the published routing data, and whether the store can confirm it. */
     using FreshnessHandler = std::function<void(const RoutingDataFreshness &)>;
 
+    /**
+     * How long operators may take to write rows again that the store lost by a restore. Forgetting
+     * an evacuation early sends requests to servers that are being turned off; keeping one for
+     * longer leaves capacity unused.
+     */
+    static constexpr Duration operatorRewritePeriod = std::chrono::seconds{10};
+
     /** Time limits within which changes must arrive. */
     struct Budgets
     {
@@ -86,7 +93,9 @@
     void applyOperatorRows(const TableChange &change);
     void applyConfig(const platform::StoreRow &row, const TableChange &change);
     void applyEvacuation(const platform::StoreRow &row, const TableChange &change);
+    void applyEvacuations(const TableChange &change);
     void applyMissingEvacuations(const TableChange &change);
+    void advanceEvacuations(Instant now);
     void applyReturn(const DomainName &domain);
     void applyServers(const TableChange &change);
     void logServerChange(const ServerRecord &record, const StoreVersion &row,
@@ -113,6 +122,11 @@
     std::optional<std::vector<DaemonLocation>> m_daemons;
     std::vector<RelayDaemon> m_relays;
     bool m_hasServers = false;
+    /**
+     * Set after the store was restored: until then rows of evacuations that differ from what was
+     * known count as outdated, as operators write theirs again.
+     */
+    std::optional<Instant> m_evacuationsDueAt;
 };
 
 inline const ServerDirectory &StatePublisher::directory() const
--- a/tests/entryfleet/test_entrystorerestored.cpp
+++ b/tests/entryfleet/test_entrystorerestored.cpp
@@ -161,6 +161,30 @@
     BOOST_TEST(lastPaymentAt("p1", since, 8s) <= seconds(drainBound));
 }
 
+BOOST_FIXTURE_TEST_CASE(evacuationThatTheCopyLacksLastsUntilItIsWrittenAgain, RestoredFleet)
+{
+    constexpr auto evacuationBound = 5s;
+    evacuate("b");
+    const auto since = Clock::now();
+    std::this_thread::sleep_for(1s);
+    restoreAfter(500ms);
+    std::this_thread::sleep_for(1s);
+    evacuate("b");
+    BOOST_TEST(lastPaymentAt("p2", since, 16s) <= seconds(evacuationBound));
+    endEvacuation("b");
+    BOOST_TEST(eventually(
+        [&] { return page("a1", "/status").find("evacuated: b") == std::string::npos; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(evacuationThatIsNotWrittenAgainEnds, RestoredFleet)
+{
+    evacuate("b");
+    std::this_thread::sleep_for(1s);
+    restoreAfter(500ms);
+    BOOST_TEST(eventually(
+        [&] { return page("a1", "/status").find("evacuated: b") == std::string::npos; }));
+}
+
 BOOST_FIXTURE_TEST_CASE(callsToARestoredStoreStayFew, RestoredFleet)
 {
     const std::uint64_t atRest = callsOfAll();
