Publish crash reports again that a restored store lacks

Each daemon's reports live in a row of its own. After a restore a daemon compares its row in the copy with what it wrote and writes it again; what is known of other daemons' rows stays until then, so that a blocked request is not sent to servers in between.

--- a/src/libbulrush/process/crashregistry.cpp
+++ b/src/libbulrush/process/crashregistry.cpp
@@ -6,6 +6,23 @@
 
 namespace bulrush {
 
+namespace {
+
+/** Adds to \a row what \a known has beyond it. */
+void addLater(CrashRow &row, const CrashRow &known)
+{
+    for (const CrashReport &report : known.reports) {
+        if (std::ranges::find(row.reports, report) == row.reports.end())
+            row.reports.push_back(report);
+    }
+    for (const CrashRetraction &retraction : known.retractions) {
+        if (std::ranges::find(row.retractions, retraction) == row.retractions.end())
+            row.retractions.push_back(retraction);
+    }
+}
+
+} // namespace
+
 CrashRegistry::CrashRegistry(const HostName &self)
     : m_self(self)
     , m_pause(minWriteBackoff, maxWriteBackoff, self.value())
@@ -83,7 +100,15 @@
     if (!row) {
         if (found == m_others.end())
             return;
+        // The copy from which the store was restored may lack the row; its daemon writes it again.
+        if (version.era > found->second.version.era) {
+            found->second.version = {version.era, 0};
+            return;
+        }
         m_others.erase(found);
+    } else if (found != m_others.end() && version.era > found->second.version.era) {
+        addLater(*row, found->second.row);
+        found->second = {version, std::move(*row), now};
     } else if (found == m_others.end() || found->second.version < version) {
         m_others[host] = {version, std::move(*row), now};
     } else {
@@ -97,7 +122,11 @@
 {
     if (version < m_ownVersion)
         return; // read before the last write
-    m_ownVersion = row ? version : StoreVersion{};
+    // The copy from which the store was restored may lack what this daemon wrote.
+    const bool isRestored = m_hasOwnRow && version.era > m_ownVersion.era;
+    if (isRestored && (row ? *row : CrashRow{}) != m_written)
+        m_hasUnpublished = true;
+    m_ownVersion = {version.era, row ? version.number : 0};
     if (!row || std::exchange(m_hasOwnRow, true))
         return;
     // The reports of an earlier run of this daemon are still valid, and are already published.
@@ -174,7 +203,8 @@
 void CrashRegistry::handleWriteResult(RowWriteResult end, const StoreVersion &version, Instant now)
 {
     m_isWriting = false;
-    if (end == RowWriteResult::Done) {
+    // A restore of the store may have undone a write of an earlier era.
+    if (end == RowWriteResult::Done && version.era >= m_ownVersion.era) {
         m_ownVersion = version;
         m_pause.succeeded();
         return;
--- a/tests/crashes/test_crashledger.cpp
+++ b/tests/crashes/test_crashledger.cpp
@@ -307,3 +307,28 @@
     at(0).setDaemons({hosts[0], hosts[1]});
     BOOST_TEST((at(0).takeUpdate(now) != nullptr));
 }
+
+BOOST_FIXTURE_TEST_CASE(reportsThatARestoredStoreLacksAreWrittenAgain, Daemons)
+{
+    reportCrash(0, bad, server(1));
+    reportCrash(0, bad, server(2));
+    const CrashRow written = rows.at(hosts[0]).second;
+    BOOST_TEST(written.reports.size() == 2U);
+    // The copy has the first report only, and lacks the row of the third daemon.
+    reportCrash(2, bad, server(3));
+    const CrashRow copied{{written.reports.front()}, {}};
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        at(i).applyRow(hosts[0], {1, 1}, copied, now);
+        at(i).applyRow(hosts[2], {1, 5}, std::nullopt, now);
+        // What is known counts until the daemons have written their rows again.
+        BOOST_TEST(quarantineAt(i).blocks(bad));
+    }
+    const auto first = at(0).startDueWrite(now);
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(first->expectedVersion == 1U);
+    BOOST_TEST((first->row == written));
+    BOOST_TEST(!at(1).startDueWrite(now).has_value());
+    const auto third = at(2).startDueWrite(now);
+    BOOST_REQUIRE(third.has_value());
+    BOOST_TEST(third->expectedVersion == 0U);
+}
