Count unknown grants from the first rows of an era, not from the lease

It also waits for the rows of the new era if a commit of its own turns out to have been executed there.

--- a/src/libbulrush/process/erarecovery.cpp
+++ b/src/libbulrush/process/erarecovery.cpp
@@ -8,8 +8,9 @@
     : m_timings(timings)
 { }
 
-void EraRecovery::begin(Instant now)
+void EraRecovery::begin(Instant eraSince, Instant now)
 {
+    m_eraSince = eraSince;
     m_since = now;
     m_answers.clear();
     m_queriedAt.clear();
@@ -44,9 +45,10 @@
         const auto answer = m_answers.find(host);
         hasSilent = hasSilent || answer == m_answers.end();
         // An earlier run on the host may have sent grants until the current one started.
-        lastGrantEnd = std::max(lastGrantEnd,
-                                answer == m_answers.end() ? m_since + m_timings.staleGrantPeriod()
-                                                          : answer->second.startedAt);
+        lastGrantEnd =
+            std::max(lastGrantEnd,
+                     answer == m_answers.end() ? m_eraSince + m_timings.staleGrantPeriod()
+                                               : answer->second.startedAt);
     }
     if (hasSilent && now - m_since < answerTimeout)
         return Step::Wait;
--- a/src/libbulrush/process/erarecovery.h
+++ b/src/libbulrush/process/erarecovery.h
@@ -56,8 +56,11 @@
 
     explicit EraRecovery(const KeyTimings &timings);
 
-    /** Starts over, as this daemon plans in a restored store since \a now. */
-    void begin(Instant now);
+    /**
+     * Starts over, as this daemon plans since \a now. The store's current era began at \a eraSince
+     * or earlier.
+     */
+    void begin(Instant eraSince, Instant now);
 
     /** \returns the daemons to query; each counts as queried. */
     std::vector<Renewer> dueQueries(const RenewerRegistry &renewers, Instant now);
@@ -80,6 +83,7 @@
     bool hasLastPlannerAnswered() const;
 
     KeyTimings m_timings;
+    Instant m_eraSince;
     Instant m_since;
     std::map<HostName, Answer> m_answers;
     std::map<HostName, Instant> m_queriedAt;
--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -71,8 +71,10 @@
     m_ownVersion = isOwn ? version : StoreVersion{};
 }
 
-void KeyCoordinator::markRowsApplied(const StoreVersion &version)
+void KeyCoordinator::markRowsApplied(const StoreVersion &version, Instant now)
 {
+    if (!m_hasRows || version.era > m_appliedVersion.era)
+        m_eraSince = now;
     if (m_hasRows && version.era > m_appliedVersion.era)
         enterEra(version.era);
     m_hasRows = true;
@@ -356,8 +358,12 @@
 void KeyCoordinator::addRecoveryActions(Instant now, std::vector<KeyAction> &actions)
 {
     std::map<ServiceName, std::uint64_t> known;
-    for (const auto &[service, stored] : m_assignments)
+    for (const auto &[service, stored] : m_assignments) {
+        // A commit was executed after another restore, whose rows have not been applied yet.
+        if (stored.version.era > m_appliedVersion.era)
+            return;
         known[service] = stored.assignment.sequence;
+    }
     for (Renewer &renewer : m_recovery.dueQueries(m_renewers, now)) {
         if (renewer.host == m_self.host)
             recordRemembered(remembered(known, now), now);
@@ -451,7 +457,7 @@
     m_plannedAt = {};
     m_loads.clear();
     m_renewers.clearAnswers();
-    m_recovery.begin(now);
+    m_recovery.begin(m_eraSince, now);
     // Restart all waits for previous owners: it is unknown how long an earlier planner has waited.
     m_moves.clear();
     for (const auto &[service, stored] : m_assignments)
--- a/src/libbulrush/process/keycoordinator.h
+++ b/src/libbulrush/process/keycoordinator.h
@@ -131,7 +131,7 @@
      * Records that all rows up to \a version of the store have been applied. If it is of a later
      * era than before, the complete table has been applied.
      */
-    void markRowsApplied(const StoreVersion &version);
+    void markRowsApplied(const StoreVersion &version, Instant now);
 
     /** Records that the store confirmed, at \a givenAt or later, that the rows are unchanged. */
     void recordStoreAnswer(Instant givenAt);
@@ -299,6 +299,8 @@
     /** The planner when the store last had all assignments, and the version of its row. */
     Incarnation m_confirmedPlanner;
     StoreVersion m_confirmedPlannerVersion;
+    /** When the first rows of the store's current era were applied. */
+    Instant m_eraSince;
     Instant m_start;
     RetryBackoff m_registerBackoff;
     bool m_isRegistering = false;
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -260,7 +260,7 @@
     }
     if (change.isComplete)
         applyMissingRows(change, hasPlanner, now);
-    m_coordinator.markRowsApplied(change.version);
+    m_coordinator.markRowsApplied(change.version, now);
     std::vector<Renewer> daemons;
     std::vector<DaemonLocation> locations;
     std::vector<RelayDaemon> relays;
