Move what is known of assignments into a class of its own

KeyCoordinator kept the latest assignment of each service, the version of its row and whether that confirms it, beside planning, moving and renewing.

--- a/src/libbulrush/process/keyaction.h
+++ b/src/libbulrush/process/keyaction.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "process/endpoint.h"
+#include "process/knownassignments.h"
 #include "process/plannerlease.h"
 #include "process/renewerregistry.h"
 #include "version/keyassignment.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -62,7 +62,7 @@
 {
     Renewer renewer;
     /** The sequences of the assignments known here; only later ones are needed. */
-    std::map<ServiceName, std::uint64_t> known;
+    AssignmentSequences known;
 };
 
 /** Write this daemon's own row if it has the expected version; without \a row, remove it. */
--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -38,24 +38,17 @@
 bool KeyCoordinator::applyAssignment(const KeyAssignment &assignment, const StoreVersion &version,
                                      Instant now)
 {
-    StoredAssignment &stored = m_assignments[assignment.service];
-    if (version <= stored.version)
+    if (!m_assignments.applyRow(assignment, version))
         return false;
-    stored.version = version;
-    stored.isConfirmed =
-        assignment.era == version.era && assignment.sequence >= stored.assignment.sequence;
-    return adopt(stored, assignment, now);
+    followAssignment(assignment, now);
+    return true;
 }
 
-/** Replaces the known assignment by \a assignment if that is later. \returns whether it is. */
-bool KeyCoordinator::adopt(StoredAssignment &stored, const KeyAssignment &assignment, Instant now)
+/** Makes \a assignment, the latest of its service, the one to renew and to move keys by. */
+void KeyCoordinator::followAssignment(const KeyAssignment &assignment, Instant now)
 {
-    if (assignment.sequence <= stored.assignment.sequence)
-        return false;
-    stored.assignment = assignment;
     m_renewal.setAssignment(assignment);
-    m_moves.setAssignment(assignment, stored.version, now);
-    return true;
+    m_moves.setAssignment(assignment, m_assignments.rowVersion(assignment.service), now);
 }
 
 void KeyCoordinator::applyDaemonRow(const HostName &host, const StoreVersion &version,
@@ -88,21 +81,14 @@
 /** Handles that the store was restored, and that all of its rows have been applied since. */
 void KeyCoordinator::enterEra(std::uint64_t era)
 {
-    for (auto &[service, stored] : m_assignments) {
-        if (stored.version.era >= era)
-            continue;
-        // The copy has no row of this service.
-        stored.version = {era, 0};
-        stored.isConfirmed = false;
-    }
+    m_assignments.enterEra(era);
     if (m_ownVersion.era < era)
         m_ownVersion = {};
 }
 
 bool KeyCoordinator::areAssignmentsConfirmed() const
 {
-    return std::ranges::all_of(m_assignments,
-                               [](const auto &entry) { return entry.second.isConfirmed; });
+    return m_assignments.areConfirmed();
 }
 
 void KeyCoordinator::recordStoreAnswer(Instant givenAt)
@@ -357,13 +343,10 @@
 /** Writes the assignments again that a restored store lacks, once the latest ones are known. */
 void KeyCoordinator::addRecoveryActions(Instant now, std::vector<KeyAction> &actions)
 {
-    std::map<ServiceName, std::uint64_t> known;
-    for (const auto &[service, stored] : m_assignments) {
-        // A commit was executed after another restore, whose rows have not been applied yet.
-        if (stored.version.era > m_appliedVersion.era)
-            return;
-        known[service] = stored.assignment.sequence;
-    }
+    // A commit was executed after another restore, whose rows have not been applied yet.
+    if (m_assignments.hasRowsAfter(m_appliedVersion.era))
+        return;
+    const AssignmentSequences known = m_assignments.sequences();
     for (Renewer &renewer : m_recovery.dueQueries(m_renewers, now)) {
         if (renewer.host == m_self.host)
             recordRemembered(remembered(known, now), now);
@@ -373,11 +356,11 @@
     const EraRecovery::Step step = m_recovery.step(m_renewers, now);
     if (step == EraRecovery::Step::Wait)
         return;
-    for (const auto &[service, stored] : m_assignments) {
-        if (stored.isConfirmed || !mayCommit(service, now))
+    for (const ServiceName &service : m_assignments.unconfirmed()) {
+        if (!mayCommit(service, now))
             continue;
         m_committing.insert(service);
-        actions.emplace_back(commitOf(recoveredAssignment(stored.assignment, step)));
+        actions.emplace_back(commitOf(recoveredAssignment(*assignment(service), step)));
     }
 }
 
@@ -394,17 +377,11 @@
     return next;
 }
 
-RememberedAssignments KeyCoordinator::remembered(const std::map<ServiceName, std::uint64_t> &known,
+RememberedAssignments KeyCoordinator::remembered(const AssignmentSequences &known,
                                                  Instant now) const
 {
-    RememberedAssignments answer{m_self.host,        m_self.incarnation,        now - m_start,
-                                 m_confirmedPlanner, m_confirmedPlannerVersion, {}};
-    for (const auto &[service, stored] : m_assignments) {
-        const auto sequence = known.find(service);
-        if (sequence == known.end() || stored.assignment.sequence > sequence->second)
-            answer.assignments.push_back(stored.assignment);
-    }
-    return answer;
+    return {m_self.host,        m_self.incarnation,        now - m_start,
+            m_confirmedPlanner, m_confirmedPlannerVersion, m_assignments.laterThan(known)};
 }
 
 void KeyCoordinator::recordRemembered(const RememberedAssignments &answer, Instant now)
@@ -413,11 +390,8 @@
         return;
     m_recovery.recordAnswer(answer, now);
     for (const KeyAssignment &assignment : answer.assignments) {
-        const auto [place, isNew] = m_assignments.try_emplace(assignment.service);
-        if (isNew)
-            place->second.version = {m_appliedVersion.era, 0};
-        if (adopt(place->second, assignment, now))
-            place->second.isConfirmed = false;
+        if (m_assignments.applyRemembered(assignment, m_appliedVersion.era))
+            followAssignment(assignment, now);
     }
 }
 
@@ -436,14 +410,12 @@
 
 const KeyAssignment *KeyCoordinator::assignment(const ServiceName &service) const
 {
-    const auto stored = m_assignments.find(service);
-    return stored == m_assignments.end() ? nullptr : &stored->second.assignment;
+    return m_assignments.find(service);
 }
 
 StoreVersion KeyCoordinator::assignmentVersion(const ServiceName &service) const
 {
-    const auto stored = m_assignments.find(service);
-    return stored == m_assignments.end() ? StoreVersion{} : stored->second.version;
+    return m_assignments.rowVersion(service);
 }
 
 void KeyCoordinator::updatePlanning(Instant now)
@@ -460,8 +432,8 @@
     m_recovery.begin(m_eraSince, now);
     // Restart all waits for previous owners: it is unknown how long an earlier planner has waited.
     m_moves.clear();
-    for (const auto &[service, stored] : m_assignments)
-        m_moves.setAssignment(stored.assignment, stored.version, now);
+    for (const KeyAssignment *known : m_assignments.all())
+        m_moves.setAssignment(*known, assignmentVersion(known->service), now);
 }
 
 bool KeyCoordinator::mayCommit(const ServiceName &service, Instant now) const
--- a/src/libbulrush/process/keycoordinator.h
+++ b/src/libbulrush/process/keycoordinator.h
@@ -6,6 +6,7 @@
 #include "process/keymoves.h"
 #include "process/keyrenewal.h"
 #include "process/keytimings.h"
+#include "process/knownassignments.h"
 #include "process/plannerlease.h"
 #include "process/renewerregistry.h"
 #include "process/retrybackoff.h"
@@ -228,8 +229,7 @@
     StoreVersion assignmentVersion(const ServiceName &service) const;
 
     /** \returns the assignments known here that are later than \a known, for a planner. */
-    RememberedAssignments remembered(const std::map<ServiceName, std::uint64_t> &known,
-                                     Instant now) const;
+    RememberedAssignments remembered(const AssignmentSequences &known, Instant now) const;
 
     /** Records the answer to a QueryAssignments, which arrived at \a now. */
     void recordRemembered(const RememberedAssignments &answer, Instant now);
@@ -246,18 +246,8 @@
     const PlannerLease &lease() const;
 
 private:
-    /** The latest known assignment of a service, and its row. */
-    struct StoredAssignment
-    {
-        KeyAssignment assignment;
-        /** The version of the row. */
-        StoreVersion version;
-        /** The row has this assignment, committed in the row's era. */
-        bool isConfirmed = false;
-    };
-
     void enterEra(std::uint64_t era);
-    bool adopt(StoredAssignment &stored, const KeyAssignment &assignment, Instant now);
+    void followAssignment(const KeyAssignment &assignment, Instant now);
     void addRecoveryActions(Instant now, std::vector<KeyAction> &actions);
     KeyAssignment recoveredAssignment(const KeyAssignment &latest, EraRecovery::Step step) const;
     CommitKeyAssignment commitOf(KeyAssignment next) const;
@@ -281,7 +271,7 @@
     KeyMoves m_moves;
     RenewerRegistry m_renewers;
     GrantLog m_grants;
-    std::map<ServiceName, StoredAssignment> m_assignments;
+    KnownAssignments m_assignments;
     /** Empty unless this daemon is the planner. */
     std::map<ServiceName, ServiceLoad> m_loads;
     /** Services with a commit whose result is not known yet. */
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -194,7 +194,7 @@
     return m_coordinator.makeRenewerAnswer(question.service, question.servers, now);
 }
 
-RememberedAssignments KeyControl::remembered(const io::KnownSequences &known) const
+RememberedAssignments KeyControl::remembered(const AssignmentSequences &known) const
 {
     return m_coordinator.remembered(known, io::hostNow());
 }
@@ -480,7 +480,7 @@
     call.method = "POST";
     call.target = assignmentsPath;
     call.headers = {{"Host", toString(call.server)}};
-    call.body = std::make_shared<const std::string>(io::encodeKnownSequences(action.known));
+    call.body = std::make_shared<const std::string>(io::encodeSequences(action.known));
     call.timeout = EraRecovery::answerTimeout;
     m_deps.servers.send(std::move(call), [this](const io::HttpResult &result) {
         const auto answer =
--- a/src/libbulrushentry/keycontrol.h
+++ b/src/libbulrushentry/keycontrol.h
@@ -70,7 +70,7 @@
     RenewerAnswer answer(const io::RenewalQuery &question);
 
     /** \returns the assignments known here that are later than \a known, for a planner. */
-    RememberedAssignments remembered(const io::KnownSequences &known) const;
+    RememberedAssignments remembered(const AssignmentSequences &known) const;
 
     /** \returns the follower of \a table, or null if this object does not follow it. */
     const TableFollower *follower(std::string_view table) const;
--- a/src/libbulrushentry/peerservice.cpp
+++ b/src/libbulrushentry/peerservice.cpp
@@ -122,7 +122,7 @@
 
 io::HttpResponse PeerService::answerAssignmentsQuery(const std::string &body)
 {
-    const auto known = io::decodeKnownSequences(body);
+    const auto known = io::decodeSequences(body);
     if (!known)
         return io::plainTextResponse(badRequest, "body: not a query for assignments\n");
     return jsonPage(io::encodeRememberedAssignments(m_keys.remembered(*known)));
--- a/src/libbulrushio/version/renewalcodec.cpp
+++ b/src/libbulrushio/version/renewalcodec.cpp
@@ -81,7 +81,7 @@
     return answer;
 }
 
-std::string encodeKnownSequences(const KnownSequences &known)
+std::string encodeSequences(const AssignmentSequences &known)
 {
     Json::Value json{Json::objectValue};
     for (const auto &[service, sequence] : known)
@@ -89,12 +89,12 @@
     return toCompactJson(json);
 }
 
-std::optional<KnownSequences> decodeKnownSequences(std::string_view text)
+std::optional<AssignmentSequences> decodeSequences(std::string_view text)
 {
     const Json::Value json = parseJson(std::string{text});
     if (!json.isObject())
         return std::nullopt;
-    KnownSequences known;
+    AssignmentSequences known;
     for (const std::string &service : json.getMemberNames()) {
         if (!json[service].isUInt64())
             return std::nullopt;
--- a/src/libbulrushio/version/renewalcodec.h
+++ b/src/libbulrushio/version/renewalcodec.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "process/erarecovery.h"
+#include "process/knownassignments.h"
 #include "process/renewerregistry.h"
 #include "version/keyassignment.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -40,14 +40,11 @@
 /** \returns the answer in \a text, or nothing if it is invalid. Thread safe. */
 std::optional<RenewerAnswer> decodeRenewalAnswer(std::string_view text);
 
-/** The sequences of the assignments that a planner knows, by service. */
-using KnownSequences = std::map<ServiceName, std::uint64_t>;
-
 /** \returns \a known encoded as JSON text, a planner's query for later ones. Thread safe. */
-std::string encodeKnownSequences(const KnownSequences &known);
+std::string encodeSequences(const AssignmentSequences &known);
 
 /** \returns the sequences in \a text, or nothing if it is invalid. Thread safe. */
-std::optional<KnownSequences> decodeKnownSequences(std::string_view text);
+std::optional<AssignmentSequences> decodeSequences(std::string_view text);
 
 /** \returns \a remembered encoded as JSON text. Thread safe. */
 std::string encodeRememberedAssignments(const RememberedAssignments &remembered);
