--- a/tests/keyworld/keysimulation.cpp
+++ b/tests/keyworld/keysimulation.cpp
@@ -295,7 +295,7 @@
     daemon.isUp = true;
     daemon.frozenUntil = {};
     daemon.directory = {};
-    daemon.appliedVersion = {};
+    daemon.appliedVersion = {m_era, 0};
     daemon.connectedRuns.clear();
     const std::string name = "d" + std::to_string(index) + "/" + std::to_string(incarnation);
     daemon.coordinator =
@@ -883,6 +883,9 @@
 void KeySimulation::replaceServer(Server &server)
 {
     server.isUp = false;
+    // Whichever fault ended the run, nobody writes its record any more.
+    after(recordLifetime,
+          [this, name = ServerName{wireNameOf(server.name)}] { m_directory.remove(name, m_now); });
     after(serverRestartDelay, [this, &server] {
         server.isUp = true;
         server.leases = standins::LeaseTable{cells};
