Ask all daemons before the first assignment of a service is planned

A store that returns from a copy before the first assignment has no row of it.

A planner of a store that names an era now asks all daemons first, one second at most; the wait for quiet registrations is longer in ordinary times. The first sequence of an era is above those of all earlier ones.

--- a/src/libbulrush/process/erarecovery.cpp
+++ b/src/libbulrush/process/erarecovery.cpp
@@ -37,24 +37,35 @@
                               answer.plannerVersion};
 }
 
+bool EraRecovery::areAnswersIn(const RenewerRegistry &renewers, Instant now) const
+{
+    return now - m_since >= answerTimeout
+        || std::ranges::all_of(renewers.renewers(), [this](const auto &entry) {
+               return m_answers.contains(entry.first);
+           });
+}
+
 EraRecovery::Step EraRecovery::step(const RenewerRegistry &renewers, Instant now) const
 {
-    bool hasSilent = false;
-    Instant lastGrantEnd;
+    if (!areAnswersIn(renewers, now))
+        return Step::Wait;
+    if (hasLastPlannerAnswered())
+        return Step::Continue;
+    return now >= lastUnknownGrant(renewers) + m_timings.maxHold() ? Step::RaiseFences : Step::Wait;
+}
+
+/** \returns the latest end of a grant by an assignment that no daemon which answered knows. */
+Instant EraRecovery::lastUnknownGrant(const RenewerRegistry &renewers) const
+{
+    Instant last;
     for (const auto &[host, renewer] : renewers.renewers()) {
         const auto answer = m_answers.find(host);
-        hasSilent = hasSilent || answer == m_answers.end();
         // An earlier run on the host may have sent grants until the current one started.
-        lastGrantEnd =
-            std::max(lastGrantEnd,
-                     answer == m_answers.end() ? m_eraSince + m_timings.staleGrantPeriod()
-                                               : answer->second.startedAt);
+        last = std::max(last,
+                        answer == m_answers.end() ? m_eraSince + m_timings.staleGrantPeriod()
+                                                  : answer->second.startedAt);
     }
-    if (hasSilent && now - m_since < answerTimeout)
-        return Step::Wait;
-    if (hasLastPlannerAnswered())
-        return Step::Continue;
-    return now >= lastGrantEnd + m_timings.maxHold() ? Step::RaiseFences : Step::Wait;
+    return last;
 }
 
 /** \returns whether the daemon that planned last before the restore has answered. */
--- a/src/libbulrush/process/erarecovery.h
+++ b/src/libbulrush/process/erarecovery.h
@@ -68,6 +68,9 @@
     /** Records the answer of a daemon, which arrived at \a now. */
     void recordAnswer(const RememberedAssignments &answer, Instant now);
 
+    /** \returns whether no further answers are waited for. */
+    bool areAnswersIn(const RenewerRegistry &renewers, Instant now) const;
+
     /** \returns the next step. */
     Step step(const RenewerRegistry &renewers, Instant now) const;
 
@@ -81,6 +84,7 @@
     };
 
     bool hasLastPlannerAnswered() const;
+    Instant lastUnknownGrant(const RenewerRegistry &renewers) const;
 
     KeyTimings m_timings;
     Instant m_eraSince;
--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -250,6 +250,8 @@
     if (auto registration = dueRegistration(now))
         actions.emplace_back(std::move(*registration));
     updatePlanning(now);
+    if (m_isPlanning && mayLackAssignments(keyed))
+        addAssignmentQueries(now, actions);
     if (m_isPlanning && !areAssignmentsConfirmed())
         addRecoveryActions(now, actions);
     else if (m_isPlanning)
@@ -340,12 +342,19 @@
     return {std::move(next), expected, m_lease.version().number};
 }
 
-/** Writes the assignments again that a restored store lacks, once the latest ones are known. */
-void KeyCoordinator::addRecoveryActions(Instant now, std::vector<KeyAction> &actions)
+/** \returns whether other daemons may know later assignments, as the store may have lost some. */
+bool KeyCoordinator::mayLackAssignments(std::span<const ServiceName> keyed) const
+{
+    // A store that names no era is never restored.
+    if (m_appliedVersion.era == 0)
+        return false;
+    return !areAssignmentsConfirmed()
+        || std::ranges::any_of(keyed,
+                               [this](const ServiceName &service) { return !assignment(service); });
+}
+
+void KeyCoordinator::addAssignmentQueries(Instant now, std::vector<KeyAction> &actions)
 {
-    // A commit was executed after another restore, whose rows have not been applied yet.
-    if (m_assignments.hasRowsAfter(m_appliedVersion.era))
-        return;
     const AssignmentSequences known = m_assignments.sequences();
     for (Renewer &renewer : m_recovery.dueQueries(m_renewers, now)) {
         if (renewer.host == m_self.host)
@@ -353,6 +362,14 @@
         else
             actions.emplace_back(QueryAssignments{std::move(renewer), known});
     }
+}
+
+/** Writes the assignments again that a restored store lacks, once the latest ones are known. */
+void KeyCoordinator::addRecoveryActions(Instant now, std::vector<KeyAction> &actions)
+{
+    // A commit was executed after another restore, whose rows have not been applied yet.
+    if (m_assignments.hasRowsAfter(m_appliedVersion.era))
+        return;
     const EraRecovery::Step step = m_recovery.step(m_renewers, now);
     if (step == EraRecovery::Step::Wait)
         return;
@@ -386,7 +403,7 @@
 
 void KeyCoordinator::recordRemembered(const RememberedAssignments &answer, Instant now)
 {
-    if (!m_isPlanning || areAssignmentsConfirmed())
+    if (!m_isPlanning)
         return;
     m_recovery.recordAnswer(answer, now);
     for (const KeyAssignment &assignment : answer.assignments) {
@@ -457,8 +474,11 @@
     current.service = service;
     if (const KeyAssignment *known = assignment(service))
         current = *known;
-    else if (!isRegistrationQuiet(service, servers, now))
+    else if (!isRegistrationQuiet(service, servers, now)
+             || (m_appliedVersion.era > 0 && !m_recovery.areAnswersIn(m_renewers, now)))
         return std::nullopt;
+    else
+        current.sequence = firstSequenceOf(m_appliedVersion.era, {}) - 1;
     const auto load = m_loads.find(service);
     const KeyTraffic traffic = load == m_loads.end() ? KeyTraffic{} : load->second.traffic(now);
     return KeyPlanner::plan(current, readyServers(service, servers, now), traffic);
--- a/src/libbulrush/process/keycoordinator.h
+++ b/src/libbulrush/process/keycoordinator.h
@@ -248,6 +248,8 @@
 private:
     void enterEra(std::uint64_t era);
     void followAssignment(const KeyAssignment &assignment, Instant now);
+    bool mayLackAssignments(std::span<const ServiceName> keyed) const;
+    void addAssignmentQueries(Instant now, std::vector<KeyAction> &actions);
     void addRecoveryActions(Instant now, std::vector<KeyAction> &actions);
     KeyAssignment recoveredAssignment(const KeyAssignment &latest, EraRecovery::Step step) const;
     CommitKeyAssignment commitOf(KeyAssignment next) const;
--- a/tests/keydecisions/test_erarecovery.cpp
+++ b/tests/keydecisions/test_erarecovery.cpp
@@ -88,6 +88,16 @@
     BOOST_TEST((recovery.step(registry, ended) == EraRecovery::Step::RaiseFences));
 }
 
+BOOST_FIXTURE_TEST_CASE(waitsForAnswersOnlyForATime, Fixture)
+{
+    answer(hosts[0], 60s, {}, {}, start);
+    BOOST_TEST(!recovery.areAnswersIn(registry, start + EraRecovery::answerTimeout - 1ms));
+    BOOST_TEST(recovery.areAnswersIn(registry, start + EraRecovery::answerTimeout));
+    answer(hosts[1], 60s, {}, {}, start);
+    answer(hosts[2], 60s, {}, {}, start);
+    BOOST_TEST(recovery.areAnswersIn(registry, start));
+}
+
 BOOST_FIXTURE_TEST_CASE(queriesEachDaemonUntilItAnswers, Fixture)
 {
     BOOST_TEST(recovery.dueQueries(registry, start).size() == hosts.size());
--- a/tests/keyworld/keysimulation.cpp
+++ b/tests/keyworld/keysimulation.cpp
@@ -88,6 +88,7 @@
     : m_random(seed)
     , m_planted(planted)
     , m_now(Instant{1000s})
+    , m_era(hasRestores ? 1 : 0)
     , m_hasRestores(hasRestores)
 {
     m_store.assignment.service = service;
--- a/tests/keyworld/keysimulation.h
+++ b/tests/keyworld/keysimulation.h
@@ -179,7 +179,8 @@
         std::map<HostName, std::pair<DaemonRow, std::uint64_t>> daemons;
     };
     StoreRows m_store;
-    std::uint64_t m_era = 1;
+    /** 0: the store names no era. */
+    std::uint64_t m_era = 0;
     bool m_hasRestores = false;
     /** Earlier rows of the store, and their time. */
     std::map<Instant, StoreRows> m_copies;
