Ignore the records of a restored store also when they are read again

Only the first whole read after a restore compared the numbers of records.

A record with a lower number than the known one is never applied, and the restored record of a removed server does not bring it back. Both reads are in test_serverdirectory.

--- a/src/libbulrush/process/serverdirectory.cpp
+++ b/src/libbulrush/process/serverdirectory.cpp
@@ -10,12 +10,20 @@
 {
     std::set<ServerName> present;
     for (const ServerRecord &record : records) {
-        applyRecord(record, now, unchangedUntil);
+        const auto known = m_servers.find(record.id);
+        if (known == m_servers.end() || !isRestoredCopy(known->second, record))
+            applyRecord(record, now, unchangedUntil);
         present.insert(record.id);
     }
     markMissing(present, isAfterOutage, now);
 }
 
+/** \returns whether \a record is still the one that a restored store had of a removed server. */
+bool ServerDirectory::isRestoredCopy(const KnownServer &server, const ServerRecord &record)
+{
+    return server.restoredSince && record.sequence <= server.record.sequence;
+}
+
 void ServerDirectory::applyRestored(std::span<const ServerRecord> records, Instant now,
                                     Instant unchangedUntil)
 {
@@ -51,6 +59,8 @@
 {
     const auto [place, isNew] = m_servers.try_emplace(record.id);
     KnownServer &server = place->second;
+    if (!isNew && record.sequence < server.record.sequence)
+        return;
     if (isNew) {
         server.firstSeen = now;
         supersedeEarlierRuns(record, now);
--- a/src/libbulrush/process/serverdirectory.h
+++ b/src/libbulrush/process/serverdirectory.h
@@ -105,7 +105,8 @@
 
     /**
      * Applies a new or changed record, which had not changed until \a unchangedUntil. Earlier runs
-     * of the same server have stopped.
+     * of the same server have stopped. A record that the server wrote before the known one, as a
+     * restored store may have it, is ignored.
      */
     void applyRecord(const ServerRecord &record, Instant now, Instant unchangedUntil);
 
@@ -161,6 +162,7 @@
     const std::map<ServerName, KnownServer> &servers() const;
 
 private:
+    static bool isRestoredCopy(const KnownServer &server, const ServerRecord &record);
     void markMissing(const std::set<ServerName> &present, bool isAfterOutage, Instant now);
     void supersedeEarlierRuns(const ServerRecord &record, Instant now);
     ColdStart coldStartOf(const ServiceName &service) const;
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -288,8 +288,10 @@
     const Instant now = io::hostNow();
     const bool becomesCold =
         known && record.coldRemaining > Duration::zero() && !known->isCold(now);
-    if (known && known->record.isDraining == record.isDraining && !known->removedSince
-        && !becomesCold)
+    const bool isOutdated = known && record.sequence < known->record.sequence;
+    const bool isUnchanged = known && known->record.isDraining == record.isDraining
+        && !known->removedSince && !becomesCold;
+    if (isOutdated || isUnchanged)
         return;
     // The server wrote its row between the instants of the last two fields.
     io::logEvent(LogLevel::Info, "server-seen",
--- a/tests/routing/test_serverdirectory.cpp
+++ b/tests/routing/test_serverdirectory.cpp
@@ -229,6 +229,10 @@
     BOOST_TEST(!isReady(directory, "draining"));
     BOOST_TEST((directory.find(ServerName{"draining"})->drainsAfter == start + 900ms));
     BOOST_TEST(!isReady(directory, "gone"));
+    // The same records are read again, from the store or another daemon.
+    directory.applyAll(copy, false, start + 2500ms, start + 2s);
+    BOOST_TEST(!isReady(directory, "draining"));
+    BOOST_TEST(!isReady(directory, "gone"));
     // The record of a server that has stopped expires.
     directory.remove(ServerName{"gone"}, start + 4s);
     directory.advance(start + 20s);
