Leave the planner's lease to whoever took it after a restore

The row names the era that its writer knew; the lease is claimed at once only if the row is of an earlier era and not later than the known one. test_plannerlease.

--- a/src/libbulrush/process/plannerlease.cpp
+++ b/src/libbulrush/process/plannerlease.cpp
@@ -36,7 +36,7 @@
     if (m_isRowKnown && version <= m_version)
         return;
     const bool isRestored = m_isRowKnown && version.era > m_version.era;
-    m_isReclaiming = isRestored && m_row.holder == m_self;
+    m_isReclaiming = m_row.holder == m_self && isOutdatedCopy(version, row);
     m_isRowKnown = true;
     m_version = version;
     m_row = row;
@@ -70,7 +70,7 @@
 {
     if (!m_isRowKnown || m_pending || now < m_retryAt || !isDue(now))
         return std::nullopt;
-    PlannerRow next{m_self, m_address, m_row.renewals + 1};
+    PlannerRow next{m_self, m_address, m_row.renewals + 1, m_version.era};
     if (isGivingUp())
         next.holder = {};
     m_pending = PlannerRowWrite{m_version.number, next};
@@ -78,6 +78,16 @@
     return m_pending;
 }
 
+/**
+ * \returns whether \a row, as of \a version, was restored from a copy that is not later than the
+ * known row. Otherwise another daemon has taken the lease since the restore.
+ */
+bool PlannerLease::isOutdatedCopy(const StoreVersion &version, const PlannerRow &row) const
+{
+    const bool isRestored = m_isRowKnown && version.era > m_version.era;
+    return isRestored && row.era < version.era && row.renewals <= m_row.renewals;
+}
+
 bool PlannerLease::isHeld(Instant now) const
 {
     return !isGivingUp() && m_row.holder == m_self && m_renewedAt
--- a/src/libbulrush/process/plannerlease.h
+++ b/src/libbulrush/process/plannerlease.h
@@ -19,6 +19,8 @@
     Endpoint address;
     /** Incremented by each renewal, so that each changes the row. */
     std::uint64_t renewals = 0;
+    /** The store's era that the writer knew. */
+    std::uint64_t era = 0;
 
     bool operator==(const PlannerRow &) const = default;
 };
@@ -103,6 +105,7 @@
 
 private:
     bool isGivingUp() const;
+    bool isOutdatedCopy(const StoreVersion &version, const PlannerRow &row) const;
     bool isDue(Instant now) const;
 
     Incarnation m_self;
--- a/src/libbulrushio/version/keyassignmentcodec.cpp
+++ b/src/libbulrushio/version/keyassignmentcodec.cpp
@@ -135,6 +135,7 @@
     json["holder"] = row.holder.value();
     json["address"] = toString(row.address);
     json["renewals"] = Json::UInt64{row.renewals};
+    json["era"] = Json::UInt64{row.era};
     return toCompactJson(json);
 }
 
@@ -145,6 +146,9 @@
     PlannerRow row;
     row.holder = Incarnation{reader.text("holder")};
     row.renewals = reader.number("renewals");
+    // Daemons before eras were known wrote none.
+    if (reader.isValid() && json.isMember("era"))
+        row.era = reader.number("era");
     const std::optional<Endpoint> address =
         endpoint(PortZero::Refused).parse(reader.text("address"));
     if (!reader.isValid() || !address)
--- a/tests/keydecisions/test_plannerlease.cpp
+++ b/tests/keydecisions/test_plannerlease.cpp
@@ -191,3 +191,15 @@
     BOOST_TEST(!lease.advance(start + 500ms).has_value());
     BOOST_TEST(lease.advance(start + 500ms + PlannerLease::renewalInterval).has_value());
 }
+
+BOOST_FIXTURE_TEST_CASE(lastHolderLeavesTheLeaseToWhoeverTookItInTheNewEra, Fixture)
+{
+    takeLease(start);
+    lease.applyRow({1, 5}, {other, address, 1, 1}, start + 500ms);
+    BOOST_TEST(!lease.advance(start + 500ms).has_value());
+    Fixture later;
+    later.takeLease(start);
+    // The other daemon took the lease after a timeout, and did not know of the restore.
+    later.lease.applyRow({1, 5}, {other, address, 2, 0}, start + 500ms);
+    BOOST_TEST(!later.lease.advance(start + 500ms).has_value());
+}
