Keep remembered crash reports through further reads of a restored store

The second whole read of an era erased the reports of a daemon whose row the copy lacks, before that daemon had written it again. The read is added to reportsThatARestoredStoreLacksAreWrittenAgain.

--- a/src/libbulrush/process/crashregistry.cpp
+++ b/src/libbulrush/process/crashregistry.cpp
@@ -101,10 +101,10 @@
         if (found == m_others.end())
             return;
         // The copy from which the store was restored may lack the row; its daemon writes it again.
-        if (version.era > found->second.version.era) {
+        if (version.era > found->second.version.era)
             found->second.version = {version.era, 0};
+        if (found->second.version.number == 0)
             return;
-        }
         m_others.erase(found);
     } else if (found != m_others.end() && version.era > found->second.version.era) {
         addLater(*row, found->second.row);
--- a/tests/crashes/test_crashledger.cpp
+++ b/tests/crashes/test_crashledger.cpp
@@ -320,6 +320,9 @@
     for (std::size_t i = 0; i < hosts.size(); ++i) {
         at(i).applyRow(hosts[0], {1, 1}, copied, now);
         at(i).applyRow(hosts[2], {1, 5}, std::nullopt, now);
+        // The same rows are read again.
+        at(i).applyRow(hosts[0], {1, 1}, copied, now);
+        at(i).applyRow(hosts[2], {1, 6}, std::nullopt, now);
         // What is known counts until the daemons have written their rows again.
         BOOST_TEST(quarantineAt(i).blocks(bad));
     }
