Simulate a restored store at 195 daemons

All daemons notice the new era in the same second and need whole tables, which narrow links of readers can't carry to all followers at once.

--- a/tests/rowsworld/rowssimulation.cpp
+++ b/tests/rowsworld/rowssimulation.cpp
@@ -98,6 +98,7 @@
 RowsSimulation::RowsSimulation(const RowsScenario &scenario)
     : m_random(scenario.seed)
     , m_configBytes(scenario.configBytes)
+    , m_tableBytes{scenario.ownershipBytes, scenario.serversBytes, scenario.configBytes}
 {
     for (std::size_t i = 0; i < scenario.domains * scenario.daemonsPerDomain; ++i) {
         auto daemon = std::make_unique<Daemon>();
@@ -147,6 +148,8 @@
 /** \returns the size of the rows written after version \a from, up to and including \a to. */
 std::size_t RowsSimulation::bytesOf(std::size_t table, std::uint64_t from, std::uint64_t to) const
 {
+    if (from > 0 && from < m_eraStart && to >= m_eraStart)
+        return m_tableBytes.at(table);
     const bool isSent =
         table == Config && std::ranges::any_of(m_configVersions, [=](std::uint64_t version) {
             return version > from && version <= to;
@@ -285,6 +288,11 @@
             return;
         }
         const std::uint64_t known = m_daemons[index]->tables[tableIndex].hasRows ? askedVersion : 0;
+        // The answer to a wait is of another era, so the complete table is read by another call.
+        if (known > 0 && known < m_eraStart) {
+            ++m_calls;
+            ++m_daemons[index]->calls;
+        }
         transfer(
             SharedLinks::unlimitedSender, index,
             encodedStoreBytes(bytesOf(tableIndex, known, version)),
@@ -765,6 +773,17 @@
     wakeWaitingCalls(Config);
 }
 
+void RowsSimulation::restoreStore()
+{
+    // Numbers of an era are far above those of the one before, which orders versions as pairs.
+    constexpr std::uint64_t versionsPerEra = 1'000'000'000;
+    m_version = (m_version / versionsPerEra + 1) * versionsPerEra;
+    m_eraStart = m_version;
+    m_versions.fill(m_version);
+    for (const std::size_t table : {Ownership, Servers, Config})
+        wakeWaitingCalls(table);
+}
+
 std::size_t RowsSimulation::outdatedCount() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_daemons, [this](const auto &daemon) {
--- a/tests/rowsworld/rowssimulation.h
+++ b/tests/rowsworld/rowssimulation.h
@@ -38,6 +38,9 @@
     double weakMegabitsPerSecond = 10.0;
     /** Size of a configuration; all other rows are short. */
     std::size_t configBytes = 0;
+    /** Sizes of the complete tables of assignments and servers, which are sent after a restore. */
+    std::size_t ownershipBytes = 0;
+    std::size_t serversBytes = 0;
     /** Period within which all daemons start. */
     Duration startSpan = std::chrono::milliseconds{300};
     std::uint64_t seed = 1;
@@ -97,6 +100,11 @@
     void changeServers();
     /** Writes a new configuration. */
     void changeConfig();
+    /**
+     * Restores the store from an older copy: versions of another era begin, so that changes since
+     * the known versions cannot be had, and each daemon needs the complete tables.
+     */
+    void restoreStore();
 
     /** \returns how many daemons that can reach the store lack the latest configuration. */
     std::size_t outdatedCount() const;
@@ -171,6 +179,8 @@
     /** The versions of the tables in the store. */
     std::array<std::uint64_t, tableCount> m_versions{};
     std::uint64_t m_version = 1;
+    /** The first version of the current era; 0 in the first one. */
+    std::uint64_t m_eraStart = 0;
     /** The row of a daemon, with the store versions of its writing and removal. */
     struct Row
     {
@@ -182,6 +192,8 @@
     std::uint64_t m_calls = 0;
     Duration m_maxAge{};
     std::size_t m_configBytes;
+    /** Sizes of the complete tables, by TableIndex. */
+    std::array<std::size_t, tableCount> m_tableBytes{};
     /** Store versions at which a configuration was written. */
     std::vector<std::uint64_t> m_configVersions;
     SharedLinks m_links;
--- a/tests/rowsworld/test_rowsworld.cpp
+++ b/tests/rowsworld/test_rowsworld.cpp
@@ -208,3 +208,37 @@
     BOOST_TEST(calls <= steadyCalls(6) + 5 * simulation.daemonCount());
     BOOST_TEST(simulation.completeCount() == simulation.daemonCount());
 }
+
+BOOST_AUTO_TEST_CASE(restoredStoreIsReadAgainWithBoundedCalls)
+{
+    RowsScenario scenario;
+    scenario.ownershipBytes = 60'000;
+    scenario.serversBytes = 140'000;
+    scenario.configBytes = 250'000;
+    RowsSimulation simulation{scenario};
+    simulation.run(20s);
+    const auto setStoreOfAll = [&simulation](StoreState state) {
+        for (std::size_t i = 0; i < simulation.daemonCount(); ++i)
+            simulation.setStore(i, state);
+    };
+    setStoreOfAll(StoreState::Silent);
+    simulation.run(2500ms);
+    simulation.restoreStore();
+    setStoreOfAll(StoreState::Answering);
+    const std::uint64_t before = simulation.storeCallCount();
+    simulation.run(1s);
+    const std::uint64_t firstSecond = simulation.storeCallCount() - before;
+    simulation.run(2s);
+    // The platform considers its store stable after three seconds without failures.
+    BOOST_TEST((simulation.maxAge() < maxAllowedAge));
+    BOOST_TEST(simulation.outdatedCount() == 0U);
+    simulation.run(3s);
+    const std::uint64_t calls = simulation.storeCallCount() - before;
+    BOOST_TEST_MESSAGE("calls in the first second: " << firstSecond << ", in 6 s: " << calls);
+    // The store takes 2,000 reads a second of all daemons together.
+    BOOST_TEST(firstSecond <= 2000U);
+    BOOST_TEST(calls <= SteadySimulation::steadyCalls(6) + 5 * simulation.daemonCount());
+    simulation.takeMaxAge();
+    simulation.run(10s);
+    BOOST_TEST((simulation.takeMaxAge() < maxAllowedAge));
+}
