Simulate the evacuation of a domain under load at 12, 66 and 195 daemons

With the planner lost for 6 s requests stop in time; if daemons don't judge the age of the evacuation (planted), they don't.

--- a/tests/loadworld/loadsimulation.cpp
+++ b/tests/loadworld/loadsimulation.cpp
@@ -34,6 +34,17 @@
 
 } // namespace
 
+double LoadResult::onTimeShare(std::size_t from, std::size_t until) const
+{
+    int requestCount = 0;
+    int onTimeCount = 0;
+    for (std::size_t second = from; second < until; ++second) {
+        requestCount += requestsOfSecond.at(second);
+        onTimeCount += onTimeOfSecond.at(second);
+    }
+    return static_cast<double>(onTimeCount) / std::max(1, requestCount);
+}
+
 double LoadResult::relativeValue() const
 {
     return (onTime + lateAnswerValue * late) / std::max(1, requests);
@@ -53,6 +64,8 @@
     LoadSample sample{service, {}, {}, {}, {}};
     std::uint64_t nextTicket = 1;
     double retries = 3.0;
+    /** When it receives the evacuation. */
+    Instant evacuationKnownAt = Instant::max();
 };
 
 LoadSimulation::LoadSimulation(const LoadScenario &scenario)
@@ -72,11 +85,19 @@
         known.record = {name,  service, {"10.0.0.1", 80}, DomainName{"a"}, scenario.slots,
                         false, {}};
         m_state.servers[service].push_back(known);
+        if (isEvacuated(i) && !scenario.ignoresEvacuationAge)
+            known.evacuatedAfter = m_start + *scenario.evacuatedAt;
+        m_evacuatedState.servers[service].push_back(known);
     }
     for (std::size_t i = 0; i < scenario.daemons; ++i) {
         m_daemons.push_back(std::make_unique<Daemon>());
         if (!scenario.ignoresDaemonCount)
             m_daemons.back()->gauges.setDaemonCount(scenario.daemons);
+        if (!scenario.evacuatedAt)
+            continue;
+        const std::chrono::milliseconds delay{std::uniform_int_distribution{
+            0, static_cast<int>(scenario.maxNoticeDelay / 1ms)}(m_random)};
+        m_daemons.back()->evacuationKnownAt = m_start + *scenario.evacuatedAt + delay;
     }
     plan();
 }
@@ -102,15 +123,56 @@
             plan();
         }
     }
+    findBusiestServer();
     return m_result;
 }
 
+std::size_t LoadSimulation::secondOf(Instant time) const
+{
+    return static_cast<std::size_t>((time - m_start) / 1s);
+}
+
+bool LoadSimulation::isEvacuated(std::size_t server) const
+{
+    return m_scenario.evacuatedAt && server % m_scenario.domains == 0;
+}
+
+const RoutingState &LoadSimulation::stateAt(const Daemon &daemon) const
+{
+    return m_now >= daemon.evacuationKnownAt ? m_evacuatedState : m_state;
+}
+
+/** Compares the servers in use from five seconds after the middle of the run on. */
+void LoadSimulation::findBusiestServer()
+{
+    const std::size_t from = secondOf(m_start + m_scenario.length / 2 + 5s);
+    const std::size_t until = secondOf(m_start + m_scenario.length);
+    double sum = 0.0;
+    double most = 0.0;
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < m_names.size(); ++i) {
+        if (isEvacuated(i))
+            continue;
+        std::vector<int> &arrivals = m_servers.at(m_names[i]).arrivalsOfSecond;
+        arrivals.resize(until + 1);
+        for (std::size_t second = from; second < until; ++second) {
+            sum += arrivals[second];
+            most = std::max(most, static_cast<double>(arrivals[second]));
+            ++count;
+        }
+    }
+    m_result.busiestServer = sum > 0.0 ? most * static_cast<double>(count) / sum : 0.0;
+}
+
 void LoadSimulation::arrive()
 {
     const double mean = m_scenario.requestsPerSecond * std::chrono::duration<double>(step).count();
     const int newRequests = std::poisson_distribution<int>{mean}(m_random);
     for (int i = 0; i < newRequests; ++i) {
         ++m_result.requests;
+        m_result.requestsOfSecond.resize(secondOf(m_now) + 1);
+        m_result.onTimeOfSecond.resize(secondOf(m_now) + 1);
+        ++m_result.requestsOfSecond.back();
         add(drawKey(), m_now, m_now + m_scenario.deadline, false);
     }
     std::vector<Retry> due;
@@ -177,7 +239,7 @@
         return;
     std::vector<PermitWait> waits;
     const auto givenUp = daemon.queue.dispatch(
-        m_state, m_now, [&](std::uint64_t ticket, const ServerRecord &server) {
+        stateAt(daemon), m_now, [&](std::uint64_t ticket, const ServerRecord &server) {
             if (daemon.limits.find(server.id) && daemon.open.at(ticket).permitted != server.id) {
                 waits.push_back({ticket, server.id});
                 return;
@@ -239,6 +301,11 @@
     Server &server = m_servers.at(name);
     ++m_result.arrivals;
     countArrival(server);
+    server.arrivalsOfSecond.resize(secondOf(m_now) + 1);
+    ++server.arrivalsOfSecond.back();
+    const auto place = std::ranges::find(m_names, name) - m_names.begin();
+    if (isEvacuated(static_cast<std::size_t>(place)))
+        m_result.lastSendToEvacuated = m_now - m_start - *m_scenario.evacuatedAt;
     ++m_daemons[daemon]->open.at(ticket).attempts;
     Work work{daemon, ticket, m_now, {}};
     // A full server rejects the request one step later; its entry counts as running until then.
@@ -302,6 +369,7 @@
     if (!isRejected) {
         const bool isOnTime = m_now <= request.startedAt + m_scenario.targetLatency;
         m_result.onTime += isOnTime ? 1 : 0;
+        m_result.onTimeOfSecond.at(secondOf(request.startedAt)) += isOnTime ? 1 : 0;
         m_result.late += !isOnTime && m_now <= request.answerBy ? 1 : 0;
         daemon.open.erase(place);
         return;
@@ -333,7 +401,11 @@
 std::vector<KeyServer> LoadSimulation::planned() const
 {
     std::vector<KeyServer> servers;
+    const bool isEvacuationKnown =
+        m_now >= m_daemons.front()->evacuationKnownAt + m_scenario.plannerLostFor;
     for (std::size_t i = 0; i < std::min(m_plannedServers, m_names.size()); ++i) {
+        if (isEvacuationKnown && isEvacuated(i))
+            continue;
         const Duration time = m_load.workTime(m_names[i]);
         servers.push_back({m_names[i],
                            m_scenario.slots / std::chrono::duration<double>(time).count(),
@@ -362,6 +434,7 @@
         m_plannedServers += m_scenario.serversPerRound;
     }
     m_state.assignments[service] = std::make_shared<const KeyAssignment>(m_assignment);
+    m_evacuatedState.assignments = m_state.assignments;
 }
 
 void LoadSimulation::sendShares()
--- a/tests/loadworld/loadsimulation.h
+++ b/tests/loadworld/loadsimulation.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -53,6 +54,16 @@
     double limit = 0.0;
     Duration limitedFrom{};
     Duration limitedUntil = Duration::max();
+    /** Failure domains to which the servers belong in turn. */
+    std::size_t domains = 1;
+    /** When the operators evacuate the first domain. */
+    std::optional<Duration> evacuatedAt = std::nullopt;
+    /** Longest time until a daemon has received the evacuation. */
+    Duration maxNoticeDelay = std::chrono::milliseconds{1000};
+    /** Time until a lost planner is replaced, which moves no keys meanwhile. */
+    Duration plannerLostFor{};
+    /** Daemons do not judge the age of an evacuation, as a planted fault. */
+    bool ignoresEvacuationAge = false;
 };
 
 /** Results from the callers' point of view. */
@@ -69,6 +80,20 @@
     std::size_t mostInLimitedWindow = 0;
     /** How often all keys have moved. */
     double movedKeys = 0.0;
+    /** Time from the evacuation to the last request that was sent to a server of the domain. */
+    Duration lastSendToEvacuated{};
+    /** Requests that callers sent in each second, and how many of them were answered on time. */
+    std::vector<int> requestsOfSecond;
+    std::vector<int> onTimeOfSecond;
+    /**
+     * Most requests that a server of another domain got in a second from five seconds after the
+     * middle of the run on, relative to the mean.
+     */
+    double busiestServer = 0.0;
+
+    /** \returns the fraction of the requests in [from, until) seconds that were answered on time.
+     */
+    double onTimeShare(std::size_t from, std::size_t until) const;
 
     /** \returns the value of the answers relative to that of all answers on time. */
     double relativeValue() const;
@@ -122,6 +147,8 @@
         bool isLimited = false;
         /** Arrivals while it names a limit. */
         std::deque<Instant> arrivals;
+        /** Arrivals in each second. */
+        std::vector<int> arrivalsOfSecond;
     };
     struct Daemon;
     struct Retry
@@ -146,6 +173,10 @@
     void finish(const ServerName &server, const Work &work);
     ServerLoad loadOf(const Server &server) const;
     Duration drawWork(const Server &server);
+    bool isEvacuated(std::size_t server) const;
+    std::size_t secondOf(Instant time) const;
+    const RoutingState &stateAt(const Daemon &daemon) const;
+    void findBusiestServer();
     void plan();
     void sendShares();
     std::vector<KeyServer> planned() const;
@@ -159,6 +190,8 @@
     std::vector<ServerName> m_names;
     std::discrete_distribution<KeyPosition> m_keys;
     RoutingState m_state;
+    /** The state of daemons that have received the evacuation. */
+    RoutingState m_evacuatedState;
     KeyAssignment m_assignment;
     Instant m_moveEndsAt = Instant::max();
     ServiceLoad m_load;
--- a/tests/loadworld/test_loadworld.cpp
+++ b/tests/loadworld/test_loadworld.cpp
@@ -1,9 +1,13 @@
 #define BOOST_TEST_MODULE LoadWorld
 
 #include "loadsimulation.h"
+#include "process/evacuationbudget.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
+#include <utility>
+
 // Guards against hot keys that overload their owners while most of the many servers are idle.
 
 using namespace bulrush;
@@ -47,6 +51,19 @@
     return scenario;
 }
 
+/** A third of the servers is evacuated; the others can serve all requests. */
+LoadScenario evacuationScenario(std::size_t daemons, std::size_t servers)
+{
+    LoadScenario scenario;
+    scenario.daemons = daemons;
+    scenario.servers = servers;
+    scenario.domains = 3;
+    scenario.requestsPerSecond = 4.0 * static_cast<double>(servers);
+    scenario.length = 20s;
+    scenario.evacuatedAt = 10s;
+    return scenario;
+}
+
 void print(const char *name, const LoadResult &result)
 {
     BOOST_TEST_MESSAGE(
@@ -109,3 +126,41 @@
     // A third of the load can be served from the eighth second on, and all of it before.
     BOOST_TEST(result.relativeValue() > 0.44);
 }
+
+BOOST_AUTO_TEST_CASE(evacuatedDomainGetsNothingInTimeAndItsCallersAreServed)
+{
+    for (const auto &[daemons, servers] :
+         {std::pair{12, 24}, std::pair{66, 90}, std::pair{195, 246}}) {
+        const LoadScenario scenario = evacuationScenario(daemons, servers);
+        LoadScenario withoutDomain = scenario;
+        withoutDomain.servers -= scenario.servers / scenario.domains;
+        withoutDomain.evacuatedAt.reset();
+        const LoadResult result = LoadSimulation{scenario}.run();
+        const LoadResult reference = LoadSimulation{withoutDomain}.run();
+        // Five seconds are allowed to stop sending there; by then the others serve its callers.
+        const double settled = result.onTimeShare(15, 19);
+        const double expected = reference.onTimeShare(15, 19);
+        const double moving = result.onTimeShare(10, 15);
+        BOOST_TEST_MESSAGE(daemons
+                           << " daemons: last send after "
+                           << std::chrono::duration<double>(result.lastSendToEvacuated).count()
+                           << " s, on time " << moving << " in the first five seconds, then "
+                           << settled << ", " << expected << " without the domain, busiest server "
+                           << result.busiestServer << " of the mean, " << reference.busiestServer
+                           << " without the domain");
+        BOOST_TEST((result.lastSendToEvacuated <= EvacuationBudget{}.maxSendAge()));
+        BOOST_TEST(settled >= 0.95 * expected);
+        BOOST_TEST(moving >= 0.9 * expected);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(evacuationIsJudgedByItsAgeIfThePlannerIsLost)
+{
+    LoadScenario scenario = evacuationScenario(66, 90);
+    scenario.plannerLostFor = 6s;
+    const LoadResult result = LoadSimulation{scenario}.run();
+    BOOST_TEST((result.lastSendToEvacuated <= EvacuationBudget{}.maxSendAge()));
+    scenario.ignoresEvacuationAge = true;
+    const LoadResult faulty = LoadSimulation{scenario}.run();
+    BOOST_TEST((faulty.lastSendToEvacuated > EvacuationBudget::defaultBound));
+}
