--- a/src/libbulrush/process/erarecovery.h
+++ b/src/libbulrush/process/erarecovery.h
@@ -43,8 +43,7 @@
 public:
     /** Delay until an unanswered query is repeated. */
     static constexpr Duration queryRetryDelay = std::chrono::milliseconds{300};
-    /** Daemons that are silent for this long are not waited for if the last planner has answered.
-     */
+    /** Answers of silent daemons are waited for until this long after the planning began. */
     static constexpr Duration answerTimeout = std::chrono::milliseconds{1000};
 
     /** How the assignments can be written again. */
@@ -87,7 +86,9 @@
     Instant lastUnknownGrant(const RenewerRegistry &renewers) const;
 
     KeyTimings m_timings;
+    /** The store's current era began then or earlier. */
     Instant m_eraSince;
+    /** When this daemon began to plan. */
     Instant m_since;
     std::map<HostName, Answer> m_answers;
     std::map<HostName, Instant> m_queriedAt;
