Add failing tests of refusals of requests that run

Four ways in which a caller is told that a request did not run although a server runs it, each with real daemons and a server that counts its runs:

- the request is quarantined while another daemon has it: 503, run once;
- the owner of its key refuses it and answers twice: the second copy of the refusal is taken for the answer to the repeat: 503, run once;
- the server answers 408, 429 or 503 without stating that it did not run it: passed on; 421 without it becomes 503;
- a statement without the request's id is believed.

--- a/tests/forwardworker/trafficfixture.h
+++ b/tests/forwardworker/trafficfixture.h
@@ -35,7 +35,8 @@
 }
 
 /** \returns the routes of version \a version: `/read/` is idempotent, all others run once. */
-inline std::shared_ptr<const RouteTable> routeTable(std::uint64_t version)
+inline std::shared_ptr<const RouteTable> routeTable(std::uint64_t version,
+                                                    bool isDividedByKey = false)
 {
     Route once;
     once.name = "once";
@@ -48,7 +49,7 @@
     read.maxAttempts = 2;
     RoutingConfig config;
     config.version = version;
-    config.services = {{trafficService, false, 110}};
+    config.services = {{trafficService, isDividedByKey, 110}};
     config.hosts = {{"shop.example", {once, read}}};
     return std::make_shared<const RouteTable>(std::move(config));
 }
@@ -69,6 +70,19 @@
     return state;
 }
 
+/** \returns the state of a daemon that knows the server p0 at \a server, which has all keys. */
+inline std::shared_ptr<RoutingState> keyedState(const Endpoint &server)
+{
+    auto state = routingState({server});
+    state->routes = routeTable(1, true);
+    KeyAssignment assignment;
+    assignment.service = trafficService;
+    assignment.sequence = 1;
+    assignment.ranges = {{{0, keyPositionCount - 1}, ServerName{"p0"}, 1, {}, {}, 0}};
+    state->assignments[trafficService] = std::make_shared<const KeyAssignment>(assignment);
+    return state;
+}
+
 /** The traffic thread of one daemon. Not thread safe, but for send(). */
 class TrafficNode
 {
@@ -101,6 +115,11 @@
         m_worker.setFreshness({{io::hostNow(), true}, {io::hostNow(), true}});
     }
 
+    void setQuarantine(std::shared_ptr<const Quarantine> quarantine)
+    {
+        m_worker.setQuarantine(std::move(quarantine));
+    }
+
     RelayDaemon relay() const
     {
         return {m_settings.host, m_settings.domain, m_settings.relays};
@@ -118,6 +137,7 @@
         request.body = body;
         request.headers = {{"Host", "shop.example"},
                            {"X-Bulrushswitch-Request-Id", "r" + std::to_string(++sent)},
+                           {"X-Bulrushswitch-Shard-Key", "7"},
                            {"X-Bulrushswitch-Deadline-Ms", std::to_string(deadlineMs)}};
         return client.send(request);
     }
@@ -151,6 +171,14 @@
     ForwardWorker m_worker;
 };
 
+/** \returns a quarantine that blocks `GET` requests for \a path. */
+inline std::shared_ptr<const Quarantine> quarantineOf(const std::string &path)
+{
+    const SuspectRequest crashing{{ServerName{"c0"}, ServerName{"c1"}, ServerName{"c2"}}, true};
+    const RequestFingerprint request{{"GET", "shop.example", path, ""}};
+    return std::make_shared<const Quarantine>(Quarantine::Suspects{{request, crashing}});
+}
+
 /** \returns the value of the field \a name in \a head, or "". */
 inline std::string fieldOf(const std::string &head, const std::string &name)
 {
