Log what shows that a server did not run a request

Each attempt that counts as refused gets a line with the server's status, whether the answer states that the request did not run, who answered, and whether it has the request's id. Until now none of these could be told from the logs, so that the hypotheses on REFUSED looked alike. Decisions are unchanged.

--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -413,6 +413,7 @@
     m_context.logUnknownFields(m_server, platform::unknownFields(response.headers));
 
     if (statement.isNotRun) {
+        logRefusedAttempt(response);
         handleRefusal(statement, response.status);
         return;
     }
@@ -431,6 +432,22 @@
         returnAnswer(response);
 }
 
+/** Logs what shows that the server did not run the request. */
+void ForwardExchange::logRefusedAttempt(const io::HttpResponse &response) const
+{
+    const Instant now = io::hostNow();
+    const platform::RefusalSigns signs = platform::refusalSigns(response.headers);
+    io::logEvent(LogLevel::Info, "attempt-refused",
+                 {{"request", m_terms.id},
+                  {"server", m_server.value()},
+                  {"attempt", std::to_string(m_attempts)},
+                  {"status", std::to_string(response.status)},
+                  {"stated", signs.isStated ? "yes" : "no"},
+                  {"by", signs.server.value_or("")},
+                  {"id", signs.hasRequestId ? "echoed" : "missing"},
+                  {"after-ms", io::millisecondsText(now - m_sentAt)}});
+}
+
 /** Handles that the server did not run the request: sends it again where that may help. */
 void ForwardExchange::handleRefusal(const ServerStatement &statement, int status)
 {
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -76,6 +76,7 @@
     Instant sendDeadline() const;
     void handleAttemptResult(const io::HttpResult &result);
     void handleAnswer(const io::HttpResult &result);
+    void logRefusedAttempt(const io::HttpResponse &response) const;
     bool isOnTimeAfter(Duration wait) const;
     void handleRefusal(const ServerStatement &statement, int status);
     void handleBrokenAttempt(const io::HttpResult &result);
