Prove that a request did not run before it is refused as such

A caller got 503 for a request that a server ran: the quarantine changed while another daemon had the request, and the refusal only looked whether this daemon had a call open. The class: a refusal that is decided from its own call while another copy is out. A list of conditions (no call, no relay sent, no earlier attempt) has to be kept complete by each new way to send.

RequestCopies accounts for all copies of a request, at servers and at other daemons. A copy is recorded before its first byte may leave (ServerCall::confirmSend, asked on new and on kept connections), and stays until its holder denies that it ran. Only RequestCopies makes a NotRunProof, and lets nothing be sent afterwards; only CallerAnswer::notRun() makes a status that promises that the request did not run, from a proof. A server's 408, 429 or 503 that is no statement ends in 502. A refusal while a copy is out waits for the answer. Another daemon's denial has to name the request. The line of each request has its copies; refusals are counted by proof.

--- a/src/libbulrushentry/entrycounters.h
+++ b/src/libbulrushentry/entrycounters.h
@@ -15,9 +15,12 @@
     RequestsTaken,
     AnswersReturned, ///< a server's own answer, whatever its status
     RefusedNotRun,
-    RefusedCrashing, ///< of these, requests that crash servers
-    EndedUnknown,    ///< sent, but without an answer: it may have run
-    Rejected,        ///< no such route, or an invalid request
+    RefusedNeverSent,     ///< of these, those of which no byte was sent
+    RefusedDenied,        ///< of these, those whose copies were all denied by their holders
+    RefusedCrashing,      ///< of these, requests that crash servers
+    RefusalsWithoutProof, ///< ended as unknown, as a copy may run
+    EndedUnknown,         ///< sent, but without an answer: it may have run
+    Rejected,             ///< no such route, or an invalid request
     CallersGone,
     AttemptsSent,
     AttemptsRepeated,
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -1,5 +1,6 @@
 #include "forwardexchange.h"
 
+#include "calleranswer.h"
 #include "connection/httpfield.h"
 #include "connection/httpstatus.h"
 #include "connection/transporterror.h"
@@ -20,9 +21,6 @@
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
 constexpr int misdirected = 421;
-constexpr int badGateway = 502;
-constexpr int serviceUnavailable = 503;
-constexpr int gatewayTimeout = 504;
 constexpr int firstServerError = 500;
 
 /** For requests that state no deadline. */
@@ -87,16 +85,16 @@
 {
     m_routes = m_context.state ? m_context.state->routes : nullptr;
     if (!m_routes || m_context.isRefusing) {
-        refuseNotRun(m_routes ? refusal::shuttingDown : refusal::noConfig);
+        refuse(m_routes ? refusal::shuttingDown : refusal::noConfig);
         return false;
     }
     // The daemon that relays a request may know a later configuration.
     if (m_relayed && m_relayed->configVersion > m_routes->config().version) {
-        refuseNotRun(refusal::outdatedConfig);
+        refuse(refusal::outdatedConfig);
         return false;
     }
     if (m_relayed && m_context.openRelayCount > maxOpenRelays) {
-        refuseNotRun(refusal::relayLimit);
+        refuse(refusal::relayLimit);
         return false;
     }
     if (m_terms.id.empty()) {
@@ -108,7 +106,7 @@
     if (!m_route) {
         // A newer configuration may have added the route, so the request is not rejected for good.
         if (m_context.mayConfigBeOutdated(m_startedAt))
-            refuseNotRun("configuration-in-doubt");
+            refuse("configuration-in-doubt");
         else
             reject(notFound, "no-route");
         return false;
@@ -137,7 +135,7 @@
     m_context.requestedKeys[m_service].push_back(*m_terms.key);
     if (m_context.keyGate.admits(m_service, *m_terms.key, hash(), m_startedAt))
         return true;
-    refuseNotRun("key-too-hot");
+    refuse("key-too-hot");
     return false;
 }
 
@@ -190,9 +188,9 @@
         return false;
     m_context.counters.add(EntryCounter::RefusedCrashing);
     if (admission == RequestAdmission::Blocked)
-        refuseNotRun("crashes-servers", RetryAdvice::Never);
+        refuse("crashes-servers", RetryAdvice::Never);
     else
-        refuseNotRun(refusal::mayCrash);
+        refuse(refusal::mayCrash);
     return true;
 }
 
@@ -213,7 +211,8 @@
 
 void ForwardExchange::handleQuarantineChange()
 {
-    if (!m_isFinished && !m_call)
+    // Whoever has a copy decides by its own quarantine, and its answer is still to come.
+    if (!m_isFinished && !m_copies->isAtHolder())
         refuseIfQuarantined();
 }
 
@@ -283,8 +282,11 @@
     if (const auto validUntil = m_permit.validUntil(server.id))
         call.sendDeadline = std::min(call.sendDeadline, *validUntil);
     m_permit.reset();
-    call.isStillWanted = [&picker = m_context.picker, server = m_server] {
-        return picker.isStillWanted(server, io::hostNow());
+    m_copy = m_copies->add(server.id.value());
+    call.confirmSend = [&picker = m_context.picker, server = m_server, copies = m_copies,
+                        copy = m_copy] {
+        const Instant now = io::hostNow();
+        return picker.isStillWanted(server, now) && copies->release(copy, now);
     };
     call.echoedField = platform::requestIdField;
     m_call = m_context.servers.send(std::move(call),
@@ -402,6 +404,10 @@
     m_context.recordServerReached(m_server);
     const ServerStatement statement =
         platform::serverStatement(response.status, response.headers, m_server);
+    if (statement.isNotRun)
+        m_copies->recordDenial(m_copy);
+    else
+        m_copies->recordMayHaveRun(m_copy);
     const bool isFailure = response.status >= firstServerError && !statement.isNotRun;
     const AttemptOutcome sign = statement.isNotRun ? AttemptOutcome::NotRun
         : isFailure                                ? AttemptOutcome::Failed
@@ -413,7 +419,7 @@
     m_context.logUnknownFields(m_server, platform::unknownFields(response.headers));
 
     if (statement.isNotRun) {
-        logRefusedAttempt(response);
+        logRefusedAttempt(result);
         handleRefusal(statement, response.status);
         return;
     }
@@ -421,21 +427,22 @@
     // No encoding was requested, so an encoded body can't be the intended answer.
     const bool isEncoded = io::findField(response.headers, "Content-Encoding") != nullptr;
     if (isEncoded || isFailure) {
-        if (!isEncoded)
+        if (!isEncoded && !isNotRunStatus(response.status))
             m_failedAnswer = response;
         if (retryOnOtherServer())
             return;
     }
     if (isEncoded)
-        finishUnknown(badGateway, "answer-encoded");
+        finishUnknown(UnknownStatus::BadGateway, "answer-encoded");
     else
         returnAnswer(response);
 }
 
 /** Logs what shows that the server did not run the request. */
-void ForwardExchange::logRefusedAttempt(const io::HttpResponse &response) const
+void ForwardExchange::logRefusedAttempt(const io::HttpResult &result) const
 {
     const Instant now = io::hostNow();
+    const io::HttpResponse &response = result.response;
     const platform::RefusalSigns signs = platform::refusalSigns(response.headers);
     io::logEvent(LogLevel::Info, "attempt-refused",
                  {{"request", m_terms.id},
@@ -470,7 +477,7 @@
         delay = std::max(delay, left);
     }
     if (!scheduleRetry(delay))
-        refuseNotRun(isKeyMissing ? "server-has-not-the-key" : "server-refused");
+        refuse(isKeyMissing ? "server-has-not-the-key" : "server-refused");
 }
 
 /** \returns whether an answer can be on time if the request is sent to its owner after \a wait. */
@@ -521,9 +528,10 @@
         handleUnreachedServer();
         return;
     }
+    m_copies->recordMayHaveRun(m_copy);
     recordLostAttempt(CrashWatch::Loss::Broke);
     if (!retryOnOtherServer())
-        finishUnknown(badGateway, "answer-lost");
+        finishUnknown(UnknownStatus::BadGateway, "answer-lost");
 }
 
 /** Queues the request again, as its server does not want it any more and has not received it. */
@@ -550,7 +558,7 @@
             return;
     }
     if (!relay())
-        refuseNotRun(refusal::unreachable);
+        refuse(refusal::unreachable);
 }
 
 /**
@@ -560,10 +568,11 @@
  */
 bool ForwardExchange::relay()
 {
-    if (m_relayed || m_mayHaveRun || m_relay)
+    if (m_relayed || m_copies->mayHaveRun() || m_relay)
         return false;
     const ServerRecord *owner = this->owner();
     RelayRequest request;
+    request.id = m_terms.id;
     request.method = m_request->head().method;
     request.target = m_request->head().target;
     request.headers = m_request->head().headers;
@@ -574,7 +583,7 @@
     request.configVersion = m_routes->config().version;
     request.salt = hash();
     request.answerBy = m_answerBy;
-    m_relay = std::make_shared<PeerRelay>(m_context, std::move(request),
+    m_relay = std::make_shared<PeerRelay>(m_context, std::move(request), m_copies,
                                           [self = shared_from_this()](const RelayResult &result) {
                                               self->handleRelayResult(result);
                                           });
@@ -596,19 +605,18 @@
         return;
     case RelayOutcome::NotRun:
         recordRelayedBackoff(result.response);
-        refuseNotRun(reason);
+        refuse(reason);
         return;
     case RelayOutcome::Denied:
     case RelayOutcome::CutOff:
     case RelayOutcome::Unavailable:
-        refuseNotRun(reason);
+        refuse(reason);
         return;
     case RelayOutcome::Rejected:
         reject(result.response.status, reason);
         return;
     case RelayOutcome::Unknown:
-        m_mayHaveRun = true;
-        finishUnknown(badGateway, reason);
+        finishUnknown(UnknownStatus::BadGateway, reason);
         return;
     }
 }
@@ -635,7 +643,6 @@
 bool ForwardExchange::retryOnOtherServer()
 {
     m_context.counters.add(EntryCounter::AttemptsFailed);
-    m_mayHaveRun = true;
     const bool mayRepeat = m_route->kind == RequestKind::Idempotent
         && static_cast<std::uint32_t>(m_attempts) < m_route->maxAttempts;
     if (!mayRepeat)
@@ -684,11 +691,15 @@
 
 void ForwardExchange::returnAnswer(const io::HttpResponse &response)
 {
+    const std::optional<CallerAnswer> answer = CallerAnswer::ofServer(response);
+    if (!answer) {
+        finishUnknown(UnknownStatus::BadGateway, "status-without-statement");
+        return;
+    }
     m_context.counters.add(EntryCounter::AnswersReturned);
     m_context.counters.recordLatency(elapsed());
     log("answered", response.status, "server");
-    send({response.status, platform::returnedFields(response.headers), response.body},
-         RelayOutcome::Answered, "server");
+    send(*answer, RelayOutcome::Answered, "server");
     finish();
 }
 
@@ -713,36 +724,36 @@
     refuse(refusal::backingOff);
 }
 
-void ForwardExchange::refuse(std::string_view reason)
+void ForwardExchange::refuse(std::string_view reason, RetryAdvice advice)
 {
     if (m_isFinished)
         return;
-    if (m_mayHaveRun)
-        finishUnknown(gatewayTimeout, reason);
-    else
-        refuseNotRun(reason);
+    if (const std::optional<NotRunProof> proof = m_copies->proveNotRun()) {
+        finishNotRun(*proof, reason, advice);
+        return;
+    }
+    m_context.counters.add(EntryCounter::RefusalsWithoutProof);
+    finishUnknown(UnknownStatus::GatewayTimeout, reason);
 }
 
-void ForwardExchange::refuseNotRun(std::string_view reason, RetryAdvice advice)
+void ForwardExchange::finishNotRun(const NotRunProof &proof, std::string_view reason,
+                                   RetryAdvice advice)
 {
-    if (m_mayHaveRun) {
-        finishUnknown(badGateway, reason);
-        return;
-    }
     m_context.counters.add(EntryCounter::RefusedNotRun);
-    log("not-run", serviceUnavailable, reason);
-    io::HttpResponse response = io::refusal(serviceUnavailable);
-    std::erase_if(response.headers, [](const io::HttpHeader &header) {
-        return io::isSameFieldName(header.name, "Retry-After");
-    });
-    if (advice == RetryAdvice::Later)
-        response.headers.push_back({"Retry-After", retryAfterText(hash(), m_availableIn)});
+    m_context.counters.add(proof.kind() == NotRunProof::Kind::NeverSent
+                               ? EntryCounter::RefusedNeverSent
+                               : EntryCounter::RefusedDenied);
     m_context.counters.add(EntryCounter::RelaysNotRun, m_relayed ? 1 : 0);
-    send(std::move(response), relayOutcomeOf(reason, m_context.reach.isOutOfReach()), reason);
+    const CallerAnswer answer = CallerAnswer::notRun(
+        proof,
+        advice == RetryAdvice::Later ? std::optional{retryAfterText(hash(), m_availableIn)}
+                                     : std::nullopt);
+    log("not-run", answer.response().status, reason);
+    send(answer, relayOutcomeOf(reason, m_context.reach.isOutOfReach()), reason);
     finish();
 }
 
-void ForwardExchange::finishUnknown(int status, std::string_view reason)
+void ForwardExchange::finishUnknown(UnknownStatus status, std::string_view reason)
 {
     // The answer of a server that failed is more useful to the caller than an unknown outcome.
     if (m_failedAnswer) {
@@ -750,8 +761,8 @@
         return;
     }
     m_context.counters.add(EntryCounter::EndedUnknown);
-    log("unknown", status, reason);
-    send(io::refusal(status), RelayOutcome::Unknown, reason);
+    log("unknown", static_cast<int>(status), reason);
+    send(CallerAnswer::unknown(status), RelayOutcome::Unknown, reason);
     finish();
 }
 
@@ -759,18 +770,24 @@
 {
     m_context.counters.add(EntryCounter::Rejected);
     log("rejected", status, reason);
-    send(io::refusal(status), RelayOutcome::Rejected, reason);
+    send(CallerAnswer::rejected(status), RelayOutcome::Rejected, reason);
     finish();
 }
 
 /** Sends the final answer; a daemon that relays the request is also told \a outcome and \a reason.
  */
-void ForwardExchange::send(io::HttpResponse response, RelayOutcome outcome, std::string_view reason)
+void ForwardExchange::send(const CallerAnswer &answer, RelayOutcome outcome,
+                           std::string_view reason)
 {
-    if (m_relayed)
-        addRelayStatement(response.headers,
-                          {outcome, std::string{reason},
-                           outcome == RelayOutcome::Answered ? m_server : ServerName{}});
+    if (!m_relayed) {
+        m_writer->send(answer.response());
+        return;
+    }
+    io::HttpResponse response = answer.response();
+    removeRelayFields(response.headers);
+    addRelayStatement(response.headers,
+                      {outcome, std::string{reason},
+                       outcome == RelayOutcome::Answered ? m_server : ServerName{}, m_terms.id});
     m_writer->send(response);
 }
 
@@ -788,12 +805,8 @@
     m_timeout.reset();
     if (m_isFinished)
         return;
-    if (m_call && m_context.servers.isSent(*m_call)) {
-        m_mayHaveRun = true;
+    if (m_call && m_context.servers.isSent(*m_call))
         m_context.recordServerFailure(m_server);
-    }
-    if (m_relay && m_relay->isSent())
-        m_mayHaveRun = true;
     refuse("time-is-up");
 }
 
@@ -856,6 +869,7 @@
                   {"server-backoff-ms", io::millisecondsText(std::max(Duration::zero(), backoff))},
                   {"server-leaving", notice && notice->leavingSince ? "yes" : "no"},
                   {"attempts", std::to_string(m_attempts)},
+                  {"copies", m_copies->text(m_startedAt)},
                   {"ms", io::millisecondsText(elapsed())},
                   {"left-ms", io::millisecondsText(timeLeft())},
                   {"config", std::to_string(version)}});
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "attempttrace.h"
+#include "calleranswer.h"
 #include "connection/incomingrequest.h"
 #include "connection/responsewriter.h"
 #include "connection/servercall.h"
@@ -8,6 +9,7 @@
 #include "peerrelay.h"
 #include "platform/requestfields.h"
 #include "process/permit.h"
+#include "request/requestcopies.h"
 #include "request/requestfingerprint.h"
 #include "request/requestqueue.h"
 #include "requestpermit.h"
@@ -50,10 +52,15 @@
      */
     void giveUp(GiveUpReason reason, Duration availableIn);
 
-    /** Refuses the queued request: as not run, or as unknown if an earlier attempt may have run. */
-    void refuse(std::string_view reason);
+    enum class RetryAdvice {
+        Later, ///< the refusal states the delay
+        Never,
+    };
+
+    /** Refuses the request: as not run if that can be proved, otherwise with an unknown outcome. */
+    void refuse(std::string_view reason, RetryAdvice advice = RetryAdvice::Later);
 
-    /** Refuses the request if it is quarantined by now and no server has it. */
+    /** Refuses the request if it is quarantined by now and nobody has a copy. */
     void handleQuarantineChange();
 
 private:
@@ -76,7 +83,7 @@
     Instant sendDeadline() const;
     void handleAttemptResult(const io::HttpResult &result);
     void handleAnswer(const io::HttpResult &result);
-    void logRefusedAttempt(const io::HttpResponse &response) const;
+    void logRefusedAttempt(const io::HttpResult &result) const;
     bool isOnTimeAfter(Duration wait) const;
     void handleRefusal(const ServerStatement &statement, int status);
     void handleBrokenAttempt(const io::HttpResult &result);
@@ -89,14 +96,11 @@
     bool retryOnOtherServer();
     bool scheduleRetry(Duration delay);
     void returnAnswer(const io::HttpResponse &response);
-    enum class RetryAdvice {
-        Later, ///< the refusal states the delay
-        Never,
-    };
-    void refuseNotRun(std::string_view reason, RetryAdvice advice = RetryAdvice::Later);
-    void finishUnknown(int status, std::string_view reason);
+    using UnknownStatus = CallerAnswer::UnknownStatus;
+    void finishNotRun(const NotRunProof &proof, std::string_view reason, RetryAdvice advice);
+    void finishUnknown(UnknownStatus status, std::string_view reason);
     void reject(int status, std::string_view reason);
-    void send(io::HttpResponse response, RelayOutcome outcome, std::string_view reason);
+    void send(const CallerAnswer &answer, RelayOutcome outcome, std::string_view reason);
     void handleDisconnect();
     void handleTimeout();
     void finish();
@@ -132,6 +136,10 @@
     Instant m_sentAt;
     AttemptTrace m_trace;
     std::optional<io::ServerClient::CallId> m_call;
+    /** All copies of the request; shared with the calls that send them. */
+    std::shared_ptr<RequestCopies> m_copies = std::make_shared<RequestCopies>();
+    /** The copy of the current attempt. */
+    RequestCopies::Number m_copy = 0;
     /** Set while other daemons are asked to relay the request, and after one has answered. */
     std::shared_ptr<PeerRelay> m_relay;
     /** Set if another daemon relays the request, so that this one must not relay it on. */
@@ -143,8 +151,6 @@
     std::vector<ServerName> m_crashedBefore;
     /** The answer of a server that failed, returned if no other attempt succeeds. */
     std::optional<io::HttpResponse> m_failedAnswer;
-    /** The request may have run in an earlier attempt. */
-    bool m_mayHaveRun = false;
     /** This is the one copy of a suspect request that is at a server. */
     bool m_isProbe = false;
     bool m_isFinished = false;
--- a/src/libbulrushentry/peerrelay.cpp
+++ b/src/libbulrushentry/peerrelay.cpp
@@ -23,11 +23,20 @@
         || outcome == RelayOutcome::Unavailable;
 }
 
+/** \returns whether \a statement is about the \a request; a promise has to name it. */
+bool isAbout(const RelayStatement &statement, const std::string &request)
+{
+    return statement.request == request
+        || (statement.request.empty() && !statesNotRun(statement.outcome));
+}
+
 } // namespace
 
-PeerRelay::PeerRelay(ForwardContext &context, RelayRequest request, Handler handler)
+PeerRelay::PeerRelay(ForwardContext &context, RelayRequest request,
+                     std::shared_ptr<RequestCopies> copies, Handler handler)
     : m_context(context)
     , m_request(std::move(request))
+    , m_copies(std::move(copies))
     , m_handler(std::move(handler))
 { }
 
@@ -51,6 +60,10 @@
     call.connectTimeout = connectTimeout;
     call.timeout = left + std::chrono::seconds{1};
     call.sendDeadline = m_request.answerBy - RequestQueue::minServiceTime;
+    m_copy = m_copies->add(m_host.value());
+    call.confirmSend = [copies = m_copies, copy = m_copy] {
+        return copies->release(copy, io::hostNow());
+    };
     m_context.relays.recordSent(m_host, io::hostNow());
     m_context.counters.add(EntryCounter::RelaysSent);
     m_call = m_context.servers.send(
@@ -69,20 +82,20 @@
     m_handler = nullptr;
 }
 
-bool PeerRelay::isSent() const
-{
-    return m_call && m_context.servers.isSent(*m_call);
-}
-
 void PeerRelay::handleResult(const io::HttpResult &result)
 {
     m_call.reset();
     m_context.relays.recordEnded(m_host);
     const RelayResult relayed = evaluate(result);
+    if (statesNotRun(relayed.statement.outcome))
+        m_copies->recordDenial(m_copy);
+    else
+        m_copies->recordMayHaveRun(m_copy);
     recordOutcome(relayed.statement.outcome);
     if (relayed.statement.outcome != RelayOutcome::Answered)
         io::logEvent(LogLevel::Info, "relay-failed",
-                     {{"host", m_host.value()},
+                     {{"request", m_request.id},
+                      {"host", m_host.value()},
                       {"server", m_request.server},
                       {"outcome", std::string{nameOf(relayed.statement.outcome)}},
                       {"reason", relayed.statement.reason}});
@@ -99,7 +112,7 @@
     if (result.error)
         return {{RelayOutcome::Unknown, "relay-lost"}, {}};
     const auto statement = relayStatement(result.response.headers);
-    if (!statement)
+    if (!statement || !isAbout(*statement, m_request.id))
         return {{RelayOutcome::Unknown, "relay-answer-unreadable"}, {}};
     RelayResult relayed{*statement, result.response};
     removeRelayFields(relayed.response.headers);
--- a/src/libbulrushentry/peerrelay.h
+++ b/src/libbulrushentry/peerrelay.h
@@ -4,6 +4,7 @@
 #include "connection/serverclient.h"
 #include "relaymessage.h"
 #include "request/relaychooser.h"
+#include "request/requestcopies.h"
 
 #include <functional>
 #include <memory>
@@ -18,6 +19,8 @@
 /** A caller's request to relay. */
 struct RelayRequest
 {
+    /** The caller's id of the request, which the other daemon's statement has to bear. */
+    std::string id;
     std::string method;
     /** Path and query. */
     std::string target;
@@ -53,8 +56,12 @@
 public:
     using Handler = std::function<void(const RelayResult &)>;
 
-    /** \a handler is called once, never from within start(), unless cancel() is called before. */
-    PeerRelay(ForwardContext &context, RelayRequest request, Handler handler);
+    /**
+     * The copies that are sent are recorded in \a copies. \a handler is called once, never from
+     * within start(), unless cancel() is called before.
+     */
+    PeerRelay(ForwardContext &context, RelayRequest request, std::shared_ptr<RequestCopies> copies,
+              Handler handler);
 
     PeerRelay(const PeerRelay &) = delete;
     PeerRelay &operator=(const PeerRelay &) = delete;
@@ -65,9 +72,6 @@
     /** Stops: the daemon that has the request learns that its caller is gone. */
     void cancel();
 
-    /** \returns whether a daemon may have received the request. */
-    bool isSent() const;
-
     /** \returns the daemon that was asked last. */
     const HostName &host() const;
 
@@ -79,6 +83,9 @@
 
     ForwardContext &m_context;
     RelayRequest m_request;
+    std::shared_ptr<RequestCopies> m_copies;
+    /** The copy for m_host. */
+    RequestCopies::Number m_copy = 0;
     Handler m_handler;
     std::vector<HostName> m_tried;
     HostName m_host;
--- a/src/libbulrushentry/relaymessage.cpp
+++ b/src/libbulrushentry/relaymessage.cpp
@@ -15,6 +15,7 @@
 constexpr std::string_view outcomeField = "X-Bulrush-Relay-Outcome";
 constexpr std::string_view reasonField = "X-Bulrush-Relay-Reason";
 constexpr std::string_view serverField = "X-Bulrush-Relay-Server";
+constexpr std::string_view requestField = "X-Bulrush-Relay-Request";
 
 constexpr std::array<std::pair<RelayOutcome, std::string_view>, 7> outcomeNames = {{
     {RelayOutcome::Answered, "answered"},
@@ -33,6 +34,11 @@
 
 } // namespace
 
+bool statesNotRun(RelayOutcome outcome)
+{
+    return outcome != RelayOutcome::Answered && outcome != RelayOutcome::Unknown;
+}
+
 std::string_view nameOf(RelayOutcome outcome)
 {
     for (const auto &[known, name] : outcomeNames) {
@@ -68,6 +74,8 @@
     add(headers, reasonField, statement.reason);
     if (!statement.server.isEmpty())
         add(headers, serverField, statement.server.value());
+    if (!statement.request.empty())
+        add(headers, requestField, statement.request);
 }
 
 std::optional<RelayStatement> relayStatement(std::span<const io::HttpHeader> headers)
@@ -77,9 +85,11 @@
     if (!outcome || !reason)
         return std::nullopt;
     const io::HttpHeader *server = io::findField(headers, serverField);
+    const io::HttpHeader *request = io::findField(headers, requestField);
     for (const auto &[known, name] : outcomeNames) {
         if (name == outcome->value)
-            return RelayStatement{known, reason->value, ServerName{server ? server->value : ""}};
+            return RelayStatement{known, reason->value, ServerName{server ? server->value : ""},
+                                  request ? request->value : ""};
     }
     return std::nullopt;
 }
@@ -91,7 +101,8 @@
             || io::isSameFieldName(header.name, configField)
             || io::isSameFieldName(header.name, outcomeField)
             || io::isSameFieldName(header.name, reasonField)
-            || io::isSameFieldName(header.name, serverField);
+            || io::isSameFieldName(header.name, serverField)
+            || io::isSameFieldName(header.name, requestField);
     });
 }
 
--- a/src/libbulrushentry/relaymessage.h
+++ b/src/libbulrushentry/relaymessage.h
@@ -39,8 +39,13 @@
     std::string reason;
     /** The server that gave the answer; empty if none did. */
     ServerName server = {};
+    /** The id of the request. */
+    std::string request = {};
 };
 
+/** \returns whether \a outcome states that no server has run the request or will. Thread safe. */
+bool statesNotRun(RelayOutcome outcome);
+
 /** \returns the name of \a outcome in messages and logs. Thread safe. */
 std::string_view nameOf(RelayOutcome outcome);
 
--- a/src/libbulrushio/connection/servercall.h
+++ b/src/libbulrushio/connection/servercall.h
@@ -41,10 +41,11 @@
     /** The call fails unsent if its connection is established only after this time. */
     Instant sendDeadline = Instant::max();
     /**
-     * Asked once a new connection is established: if it returns false, the call fails unsent with
-     * TransportError::CallWithdrawn, and the connection is kept for later calls.
+     * Asked right before the first byte may be sent, on a new connection or a kept one, and at most
+     * once: if it returns false, the call fails unsent with TransportError::CallWithdrawn, and the
+     * connection is kept for later calls.
      */
-    std::function<bool()> isStillWanted = {};
+    std::function<bool()> confirmSend = {};
     /** The connection fails if the server's host leaves sent bytes unacknowledged for this long. */
     Duration acknowledgeTimeout = std::chrono::milliseconds{2500};
     /**
--- a/src/libbulrushio/connection/serverconnection.cpp
+++ b/src/libbulrushio/connection/serverconnection.cpp
@@ -77,7 +77,7 @@
     m_times = {};
     m_deadline = hostNow() + m_call.timeout;
     if (m_isConnected)
-        write();
+        writeIfConfirmed();
     else
         connect();
 }
@@ -160,10 +160,8 @@
     m_stateHandler(shared_from_this());
     if (hostNow() > m_call.sendDeadline)
         failCall(TransportError::TimedOut);
-    else if (m_call.isStillWanted && !m_call.isStillWanted())
-        withdrawCall();
     else
-        write();
+        writeIfConfirmed();
 }
 
 void ServerConnection::setOptions()
@@ -187,6 +185,15 @@
     setSocketOption(m_socket, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbeCount);
 }
 
+/** Sends the call unless it is withdrawn; its handler is never called from here. */
+void ServerConnection::writeIfConfirmed()
+{
+    if (!m_call.confirmSend || m_call.confirmSend())
+        write();
+    else
+        asio::post(m_loop, [self = shared_from_this()] { self->withdrawCall(); });
+}
+
 void ServerConnection::write()
 {
     m_stage = TransferStage::Sending;
@@ -321,7 +328,10 @@
 /** Ends the current call, of which nothing was sent, and keeps the connection. */
 void ServerConnection::withdrawCall()
 {
-    m_idleUntil = hostNow() + unusedIdleTimeout;
+    if (!m_handler)
+        return;
+    if (m_callCount == 1)
+        m_idleUntil = hostNow() + unusedIdleTimeout;
     endCall({TransportError::CallWithdrawn, m_stage, {}});
 }
 
--- a/src/libbulrushio/connection/serverconnection.h
+++ b/src/libbulrushio/connection/serverconnection.h
@@ -95,6 +95,7 @@
     void reportOpened(bool isConnected);
     void handleConnected(std::error_code error);
     void setOptions();
+    void writeIfConfirmed();
     void write();
     void handleWritten(std::error_code error);
     void read();
--- a/tests/serverclient/test_serverclient.cpp
+++ b/tests/serverclient/test_serverclient.cpp
@@ -347,7 +347,7 @@
                               }
                           }};
     ServerCall unwanted = call(server, "x");
-    unwanted.isStillWanted = [] {
+    unwanted.confirmSend = [] {
         return false;
     };
     const HttpResult result = send(std::move(unwanted));
