Repeat a request on no connection that carried it before

A server may answer twice, and all attempts of a request have the same id. The owner of a key that refused a request got its repeat 20 ms or 60 ms later on the same connection, so that a second copy of the refusal was taken for the answer to the repeat: 503 although the server ran it.

Calls name the connections that they must avoid, results the one that was used. Other requests go on using it.

--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -289,6 +289,7 @@
         return picker.isStillWanted(server, now) && copies->release(copy, now);
     };
     call.echoedField = platform::requestIdField;
+    call.avoidedConnections = m_usedConnections;
     m_call = m_context.servers.send(std::move(call),
                                     [self = shared_from_this()](const io::HttpResult &result) {
                                         self->handleAttemptResult(result);
@@ -386,6 +387,8 @@
 void ForwardExchange::handleAttemptResult(const io::HttpResult &result)
 {
     m_call.reset();
+    if (result.stage != io::TransferStage::NotConnected)
+        m_usedConnections.push_back(result.connection);
     endProbe();
     m_trace.log(m_terms.id, m_server, result.times);
     if (m_isFinished)
@@ -448,6 +451,7 @@
                  {{"request", m_terms.id},
                   {"server", m_server.value()},
                   {"attempt", std::to_string(m_attempts)},
+                  {"connection", std::to_string(result.connection)},
                   {"status", std::to_string(response.status)},
                   {"stated", signs.isStated ? "yes" : "no"},
                   {"by", signs.server.value_or("")},
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -140,6 +140,8 @@
     std::shared_ptr<RequestCopies> m_copies = std::make_shared<RequestCopies>();
     /** The copy of the current attempt. */
     RequestCopies::Number m_copy = 0;
+    /** Connections of earlier attempts, on which their servers may answer a second time. */
+    std::vector<io::ConnectionNumber> m_usedConnections;
     /** Set while other daemons are asked to relay the request, and after one has answered. */
     std::shared_ptr<PeerRelay> m_relay;
     /** Set if another daemon relays the request, so that this one must not relay it on. */
--- a/src/libbulrushio/connection/httpclient.h
+++ b/src/libbulrushio/connection/httpclient.h
@@ -64,6 +64,9 @@
     std::optional<Instant> writtenAt;
 };
 
+/** Identifies a connection of a ServerClient; 0 for none. */
+using ConnectionNumber = std::uint64_t;
+
 /** The result of a transfer. \a response is complete if, and only if, \a error is clear. */
 struct HttpResult
 {
@@ -72,6 +75,8 @@
     HttpResponse response;
     /** Set by ServerClient only. */
     CallTimes times = {};
+    /** The connection that carried the call. Set by ServerClient only. */
+    ConnectionNumber connection = 0;
 };
 
 /**
--- a/src/libbulrushio/connection/servercall.h
+++ b/src/libbulrushio/connection/servercall.h
@@ -46,6 +46,8 @@
      * connection is kept for later calls.
      */
     std::function<bool()> confirmSend = {};
+    /** Kept connections that must not carry the call. */
+    std::vector<ConnectionNumber> avoidedConnections = {};
     /** The connection fails if the server's host leaves sent bytes unacknowledged for this long. */
     Duration acknowledgeTimeout = std::chrono::milliseconds{2500};
     /**
--- a/src/libbulrushio/connection/serverclient.cpp
+++ b/src/libbulrushio/connection/serverclient.cpp
@@ -11,6 +11,16 @@
 
 using ConnectionPtr = std::shared_ptr<ServerConnection>;
 
+namespace {
+
+bool mustAvoid(const ServerCall &call, const ServerConnection &connection)
+{
+    return std::ranges::find(call.avoidedConnections, connection.number())
+        != call.avoidedConnections.end();
+}
+
+} // namespace
+
 /** All connections that are not closed, and the idle ones among them. */
 struct ServerClient::Pool
 {
@@ -108,7 +118,7 @@
 ServerClient::CallId ServerClient::send(ServerCall call, ServerCallHandler handler)
 {
     const CallId id = m_nextId++;
-    const ConnectionPtr connection = connectionTo(call.server, call.run);
+    const ConnectionPtr connection = connectionFor(call);
     m_calls.emplace(id, connection);
     connection->send(std::move(call), [this, id, handler = std::move(handler)](HttpResult result) {
         m_calls.erase(id);
@@ -142,32 +152,37 @@
     return connection ? connection->times() : CallTimes{};
 }
 
-ConnectionPtr ServerClient::connectionTo(const Endpoint &server, const std::string &run)
+ConnectionPtr ServerClient::connectionFor(const ServerCall &call)
 {
     const Instant now = hostNow();
-    const auto idleEntry = m_pool->idle.find({server, run});
-    while (idleEntry != m_pool->idle.end() && !idleEntry->second.empty()) {
-        // Takes the most recently used one, so that surplus connections time out.
-        ConnectionPtr connection = idleEntry->second.back();
-        idleEntry->second.pop_back();
-        if (connection->isFree() && now < connection->idleUntil())
+    const auto entry = m_pool->idle.find({call.server, call.run});
+    if (entry == m_pool->idle.end())
+        return createConnection(call.server, call.run);
+    std::vector<ConnectionPtr> &idle = entry->second;
+    // Takes the most recently used one, so that surplus connections time out.
+    for (std::size_t i = idle.size(); i-- > 0;) {
+        const ConnectionPtr connection = idle[i];
+        const bool isUsable = connection->isFree() && now < connection->idleUntil();
+        if (isUsable && mustAvoid(call, *connection))
+            continue;
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+        if (isUsable)
             return connection;
         connection->close();
     }
-    return createConnection(server, run);
+    return createConnection(call.server, call.run);
 }
 
 ConnectionPtr ServerClient::createConnection(const Endpoint &server, const std::string &run)
 {
     const std::weak_ptr<Pool> pool = m_pool;
-    const ServerConnection::Target target{server, run, m_source};
+    const ServerConnection::Target target{server, run, m_source, ++m_openedCount};
     auto connection =
         std::make_shared<ServerConnection>(m_loop, target, [pool](const ConnectionPtr &changed) {
             if (const auto held = pool.lock())
                 held->update(changed);
         });
     m_pool->all.insert(connection);
-    ++m_openedCount;
     return connection;
 }
 
--- a/src/libbulrushio/connection/serverclient.h
+++ b/src/libbulrushio/connection/serverclient.h
@@ -82,7 +82,7 @@
 private:
     struct Pool;
 
-    std::shared_ptr<ServerConnection> connectionTo(const Endpoint &server, const std::string &run);
+    std::shared_ptr<ServerConnection> connectionFor(const ServerCall &call);
     std::shared_ptr<ServerConnection> createConnection(const Endpoint &server,
                                                        const std::string &run);
 
--- a/src/libbulrushio/connection/serverconnection.cpp
+++ b/src/libbulrushio/connection/serverconnection.cpp
@@ -370,6 +370,7 @@
         close();
     }
     result.times = m_times;
+    result.connection = m_target.number;
     handler(std::move(result));
 }
 
--- a/src/libbulrushio/connection/serverconnection.h
+++ b/src/libbulrushio/connection/serverconnection.h
@@ -34,6 +34,7 @@
         std::string run;
         /** The address that the connection leaves from; if it is empty, the system chooses. */
         std::string source;
+        ConnectionNumber number = 0;
     };
 
     ServerConnection(asio::io_context &loop, Target target, StateHandler stateHandler);
@@ -60,6 +61,7 @@
 
     const Endpoint &server() const;
     const std::string &run() const;
+    ConnectionNumber number() const;
 
     /** \returns whether a call can be sent. */
     bool isFree() const;
@@ -157,6 +159,11 @@
     return m_target.run;
 }
 
+inline ConnectionNumber ServerConnection::number() const
+{
+    return m_target.number;
+}
+
 inline bool ServerConnection::isFree() const
 {
     return !m_isClosed && !m_handler && !m_isOpening;
