Take only a server's own statement about this request for a denial

Any answer with X-Bulrushswitch-Not-Executed, and any 421, counted as a statement that the request did not run: also without the request's id, and on a 200, 500 or 504, which say that work was done.

The unit test expected that a bare 421 is a denial.

--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -406,7 +406,7 @@
     const io::HttpResponse &response = result.response;
     m_context.recordServerReached(m_server);
     const ServerStatement statement =
-        platform::serverStatement(response.status, response.headers, m_server);
+        platform::serverStatement(response.status, response.headers, {m_server, m_terms.id});
     if (statement.isNotRun)
         m_copies->recordDenial(m_copy);
     else
@@ -446,7 +446,7 @@
 {
     const Instant now = io::hostNow();
     const io::HttpResponse &response = result.response;
-    const platform::RefusalSigns signs = platform::refusalSigns(response.headers);
+    const platform::RefusalSigns signs = platform::refusalSigns(response.headers, m_terms.id);
     io::logEvent(LogLevel::Info, "attempt-refused",
                  {{"request", m_terms.id},
                   {"server", m_server.value()},
@@ -631,7 +631,8 @@
     const ServerName &server = result.statement.server;
     const io::HttpResponse &response = result.response;
     if (!server.isEmpty()
-        && platform::serverStatement(response.status, response.headers, server).isLeaving)
+        && platform::serverStatement(response.status, response.headers, {server, m_terms.id})
+               .isLeaving)
         m_context.recordLeaving(server, m_terms.id);
 }
 
