--- a/tests/forwardworker/trafficfixture.h
+++ b/tests/forwardworker/trafficfixture.h
@@ -8,7 +8,9 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <mutex>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -87,10 +89,14 @@
 class TrafficNode
 {
 public:
-    explicit TrafficNode(const std::string &host)
-        : m_settings(settingsOf(host))
+    explicit TrafficNode(const std::string &host, const RetryAllowance &retries = {})
+        : m_settings(settingsOf(host, retries))
         , m_worker(m_settings, counters)
     {
+        m_worker.setPermitHandler([this](const PermitQuery &, PermitAnswerHandler handler) {
+            const std::scoped_lock lock{m_permitMutex};
+            m_openPermits.push_back(std::move(handler));
+        });
         m_worker.setCrashHandlers({[this](const std::vector<CrashReport> &reports) {
                                        reportCount += static_cast<int>(reports.size());
                                    },
@@ -120,6 +126,27 @@
         m_worker.setQuarantine(std::move(quarantine));
     }
 
+    /** Answers all queries for permits that are open. */
+    void answerPermits(const PermitAnswer &answer)
+    {
+        const std::scoped_lock lock{m_permitMutex};
+        for (PermitAnswerHandler &handler : std::exchange(m_openPermits, {}))
+            m_worker.handlePermit(answer, std::move(handler));
+    }
+
+    std::size_t openPermitCount()
+    {
+        const std::scoped_lock lock{m_permitMutex};
+        return m_openPermits.size();
+    }
+
+    /** Refuses new requests and ends callers' connections with their next answers. */
+    void shutDown()
+    {
+        m_worker.refuseNew();
+        m_worker.drain();
+    }
+
     RelayDaemon relay() const
     {
         return {m_settings.host, m_settings.domain, m_settings.relays};
@@ -157,25 +184,36 @@
     std::atomic<int> reportCount{0};
 
 private:
-    static EntrySettings settingsOf(const std::string &host)
+    using PermitAnswerHandler = std::function<void(const PermitAnswer &)>;
+
+    static EntrySettings settingsOf(const std::string &host, const RetryAllowance &retries)
     {
         EntrySettings settings;
+        settings.retries = retries;
         settings.host = HostName{host};
         settings.domain = DomainName{host.substr(0, 1)};
         settings.callers = {"127.0.0.1", 0};
+        // An address of its own, as the port is free only until it is used.
+        static std::atomic<unsigned> nodeCount{0};
+        const unsigned number = nodeCount++;
         settings.relays = refusingAddress();
+        settings.relays.address =
+            "127.9." + std::to_string(number / 250) + '.' + std::to_string(number % 250 + 1);
         return settings;
     }
 
     EntrySettings m_settings;
+    std::mutex m_permitMutex;
+    std::vector<PermitAnswerHandler> m_openPermits;
     ForwardWorker m_worker;
 };
 
 /** \returns a quarantine that blocks `GET` requests for \a path. */
-inline std::shared_ptr<const Quarantine> quarantineOf(const std::string &path)
+inline std::shared_ptr<const Quarantine> quarantineOf(const std::string &path,
+                                                      const std::string &body = {})
 {
     const SuspectRequest crashing{{ServerName{"c0"}, ServerName{"c1"}, ServerName{"c2"}}, true};
-    const RequestFingerprint request{{"GET", "shop.example", path, ""}};
+    const RequestFingerprint request{{body.empty() ? "GET" : "POST", "shop.example", path, body}};
     return std::make_shared<const Quarantine>(Quarantine::Suspects{{request, crashing}});
 }
 
