--- a/src/libbulrushio/connection/serverclient.cpp
+++ b/src/libbulrushio/connection/serverclient.cpp
@@ -161,7 +161,7 @@
     std::vector<ConnectionPtr> &idle = entry->second;
     // Takes the most recently used one, so that surplus connections time out.
     for (std::size_t i = idle.size(); i-- > 0;) {
-        const ConnectionPtr connection = idle[i];
+        ConnectionPtr connection = idle[i];
         const bool isUsable = connection->isFree() && now < connection->idleUntil();
         if (isUsable && mustAvoid(call, *connection))
             continue;
--- a/tests/forwardworker/test_requeststates.cpp
+++ b/tests/forwardworker/test_requeststates.cpp
@@ -49,8 +49,9 @@
 /** Daemons and servers of one pair, and the caller whose request is in the pair's state. */
 struct World
 {
-    explicit World(Treatment treatment)
-        : server(treatment)
+    World(Treatment treatment, std::string ownId)
+        : id(std::move(ownId))
+        , server(treatment)
     { }
 
     void send(const std::string &path, const std::string &body, bool isWhole = true)
@@ -60,8 +61,8 @@
         requestPath = path;
         requestBody = body;
         const std::string head = (body.empty() ? "GET " : "POST ") + path
-            + " HTTP/1.1\r\nHost: shop.example\r\nX-Bulrushswitch-Request-Id: q1\r\n"
-              "X-Bulrushswitch-Shard-Key: 7\r\nX-Bulrushswitch-Deadline-Ms: "
+            + " HTTP/1.1\r\nHost: shop.example\r\nX-Bulrushswitch-Request-Id: " + id
+            + "\r\nX-Bulrushswitch-Shard-Key: 7\r\nX-Bulrushswitch-Deadline-Ms: "
             + std::to_string(deadline.count())
             + (body.empty() ? "" : "\r\nContent-Length: " + std::to_string(body.size()))
             + "\r\n\r\n";
@@ -101,6 +102,8 @@
         other.release(Reply::Success);
     }
 
+    /** The id of the request. */
+    const std::string id;
     FullListener unreachable;
     StateServer server;
     /** Answers at once; gets requests only in some states. */
@@ -416,9 +419,9 @@
     bool hasCallerClosed = false;
 };
 
-Outcome play(const State &state, const Event &event)
+Outcome play(const State &state, const Event &event, std::size_t number)
 {
-    World world{state.treatment};
+    World world{state.treatment, "pair-" + std::to_string(number)};
     Outcome outcome;
     outcome.isEntered = state.enter(world);
     if (!outcome.isEntered)
@@ -479,7 +482,7 @@
             for (std::size_t pair = next++; pair < pairCount; pair = next++) {
                 const State &state = states[pair / events.size()];
                 const Event &event = events[pair % events.size()];
-                const Outcome outcome = play(state, event);
+                const Outcome outcome = play(state, event, pair);
                 const std::scoped_lock lock{mutex};
                 lines.push_back(text(state, event, outcome));
                 if (const std::string fault = faultOf(state, outcome); !fault.empty())
