Log daemons that did not answer a planner of a restored store, and reads that failed

A planner that waits for answers, and a table that is not confirmed, left no line. Decisions are unchanged.

--- a/src/libbulrush/process/crashregistry.cpp
+++ b/src/libbulrush/process/crashregistry.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/** Adds to \a row what \a known has beyond it. */
-void addLater(CrashRow &row, const CrashRow &known)
+/** Adds to \a row the reports and retractions of \a known that it lacks. */
+void addMissing(CrashRow &row, const CrashRow &known)
 {
     for (const CrashReport &report : known.reports) {
         if (std::ranges::find(row.reports, report) == row.reports.end())
@@ -107,7 +107,7 @@
             return;
         m_others.erase(found);
     } else if (found != m_others.end() && version.era > found->second.version.era) {
-        addLater(*row, found->second.row);
+        addMissing(*row, found->second.row);
         found->second = {version, std::move(*row), now};
     } else if (found == m_others.end() || found->second.version < version) {
         m_others[host] = {version, std::move(*row), now};
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -482,11 +482,18 @@
     call.headers = {{"Host", toString(call.server)}};
     call.body = std::make_shared<const std::string>(io::encodeSequences(action.known));
     call.timeout = EraRecovery::answerTimeout;
-    m_deps.servers.send(std::move(call), [this](const io::HttpResult &result) {
+    const HostName host = action.renewer.host;
+    m_deps.servers.send(std::move(call), [this, host](const io::HttpResult &result) {
         const auto answer =
             io::decodeRememberedAssignments(result.error ? "" : result.response.body);
-        if (!answer)
-            return; // the coordinator asks again
+        if (!answer) {
+            // The coordinator asks again.
+            io::logEvent(LogLevel::Warning, "assignments-not-answered",
+                         {{"by", host.value()},
+                          {"status", std::to_string(result.response.status)},
+                          {"error", errorText(result.error)}});
+            return;
+        }
         logRemembered(*answer);
         const Instant now = io::hostNow();
         m_coordinator.recordRemembered(*answer, now);
--- a/src/libbulrushentry/tablefollower.cpp
+++ b/src/libbulrushentry/tablefollower.cpp
@@ -464,7 +464,12 @@
     m_confirmingSince = sentAt;
     m_deps.store.read(m_table, [this, sentAt](platform::RowsOutcome outcome) {
         m_confirmingSince.reset();
-        if (outcome.error || isOutdated(outcome) || m_isFailing)
+        if (isOutdated(outcome))
+            outcome.error = platform::StoreError::OutdatedEra;
+        if (outcome.error)
+            io::logEvent(LogLevel::Warning, "rows-not-read",
+                         {{"table", m_table}, {"error", outcome.error.message()}});
+        if (outcome.error || m_isFailing)
             return;
         m_answerHandler(applyStoreRows(std::move(outcome), true, sentAt));
         m_deps.group.notifyChanged();
