More tests of a restored store: empty copies, hanging waits, late answers and commits

Seven more cases of test_entrystorerestored: a copy without any row of the daemons, a wait that hangs through the restore, reads of the earlier era that are answered after it, a commit of before that is executed after it, a lost planner, a daemon that starts meanwhile, a configuration that must not go back.

--- a/tests/entryfleet/test_entrystorerestored.cpp
+++ b/tests/entryfleet/test_entrystorerestored.cpp
@@ -106,6 +106,21 @@
     }
 };
 
+/** As RestoredFleet, but the copy has no row that the daemons wrote. */
+struct EmptyCopyFleet : EntryFleet
+{
+    EmptyCopyFleet()
+        : EntryFleet(hosts)
+    {
+        writeConfig();
+        startServers();
+        keepStoreCopy();
+        startDaemons();
+        waitUntilServing();
+        BOOST_REQUIRE(eventually([&] { return !planner().empty(); }));
+    }
+};
+
 double seconds(std::chrono::duration<double> duration)
 {
     return duration.count();
@@ -244,3 +259,112 @@
     BOOST_TEST(moveKeysOfALeavingServer());
     BOOST_TEST(firstOverlap() == "");
 }
+
+BOOST_FIXTURE_TEST_CASE(configurationInForceDoesNotGoBackAndTheNextOneIsFollowed, RestoredFleet)
+{
+    secondsUntilConfigIsInForce();
+    restoreAfter(500ms);
+    const auto end = Clock::now() + 3s;
+    for (std::size_t i = 0; Clock::now() < end; ++i)
+        BOOST_TEST(isConfigInForce(hosts[i % hosts.size()]));
+    BOOST_TEST(secondsUntilConfigIsInForce() <= seconds(configBound));
+}
+
+BOOST_FIXTURE_TEST_CASE(waitThatHangsThroughTheRestoreDelaysNothing, RestoredFleet)
+{
+    writeLostRows(20);
+    restoreStoreCopy(true);
+    BOOST_TEST(secondsUntilConfigIsInForce() <= seconds(configBound));
+    writeRecord("p1", "draining");
+    BOOST_TEST(lastPaymentAt("p1", Clock::now(), 5s) <= seconds(drainBound));
+}
+
+BOOST_FIXTURE_TEST_CASE(answerOfTheEarlierEraAfterOneOfTheNewIsIgnored, RestoredFleet)
+{
+    writeLostRows(20);
+    for (const std::string &host : hosts)
+        setStoreFault(host, "reset");
+    std::this_thread::sleep_for(300ms);
+    for (const std::string &host : hosts)
+        delayReads(host, "servers", 1400ms);
+    // By then reads of the servers are in flight, which the store answers as of before.
+    std::this_thread::sleep_for(1s);
+    restoreStoreCopy();
+    setStoreFault("*", "ok");
+    writeRecord("p1", "draining");
+    BOOST_TEST(lastPaymentAt("p1", Clock::now(), 6s) <= seconds(drainBound));
+    BOOST_TEST(secondsUntilConfigIsInForce() <= seconds(configBound));
+}
+
+BOOST_FIXTURE_TEST_CASE(commitOfBeforeTheRestoreThatIsExecutedAfterItMakesNoSecondOwner,
+                        RestoredFleet)
+{
+    const std::string owner = ownerOf("b1", 0);
+    // Their conditions hold in the copy, too, as nothing was committed since.
+    setStoreFault("*", "ok", 0, 3);
+    writeRecord(owner, "draining");
+    std::this_thread::sleep_for(700ms);
+    restoreStoreCopy();
+    setStoreFault("*", "ok");
+    writeRecord(owner, "draining");
+    BOOST_TEST(eventually([&] {
+        const std::string next = ownerOf("b1", 0);
+        return !next.empty() && next != owner;
+    }));
+    std::this_thread::sleep_for(4s);
+    BOOST_TEST(servesKeys("a1"));
+    BOOST_TEST(firstOverlap() == "");
+    BOOST_TEST(page("a1", "/status").find("assignments: confirmed") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(plannerThatIsLostWithTheStoreIsReplaced, RestoredFleet)
+{
+    writeLostRows(10);
+    const std::string lost = planner();
+    setStoreFault("*", "silent");
+    daemon(lost).kill();
+    restoreStoreCopy();
+    setStoreFault("*", "ok");
+    const std::string host = lost == "a1" ? "b1" : "a1";
+    BOOST_TEST(eventually([&] {
+        return page(host, "/status").find("assignments: confirmed") != std::string::npos
+            && servesKeys(host);
+    }));
+    BOOST_TEST(firstOverlap() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(daemonThatStartsWhileTheStoreIsRestoredServes, RestoredFleet)
+{
+    writeLostRows(10);
+    daemon("a2").kill();
+    setStoreFault("*", "silent");
+    startDaemon("a2");
+    std::this_thread::sleep_for(300ms);
+    restoreStoreCopy();
+    setStoreFault("*", "ok");
+    BOOST_TEST(eventually([&] { return servesKeys("a2"); }));
+    BOOST_TEST(secondsUntilConfigIsInForce() <= seconds(configBound));
+    BOOST_TEST(firstOverlap() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(keysKeepOneOwnerIfTheCopyHasNoRowOfTheDaemons, EmptyCopyFleet)
+{
+    const std::string owner = ownerOf("b1", 0);
+    const std::uint64_t fence = highestFence(owner);
+    setStoreFault("*", "silent");
+    std::this_thread::sleep_for(500ms);
+    restoreStoreCopy();
+    setStoreFault("*", "ok");
+    BOOST_TEST(eventually([&] {
+        return page("a1", "/status").find("assignments: confirmed") != std::string::npos
+            && servesKeys("a1");
+    }));
+    BOOST_TEST(ownerOf("b1", 0) == owner);
+    writeRecord(owner, "draining");
+    BOOST_TEST(eventually([&] {
+        const std::string next = ownerOf("b1", 0);
+        return !next.empty() && next != owner;
+    }));
+    BOOST_TEST(highestFence(ownerOf("b1", 0)) > fence);
+    BOOST_TEST(firstOverlap() == "");
+}
