Move what one request has to do with crashes of servers into SuspectCheck

ForwardExchange held the fingerprint, the probe and the evidence of each attempt besides the request's way to its outcome. No decision changes. test_requeststates, test_refusedrequests, test_peerrelays and test_forwardworker pass.

--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -56,6 +56,7 @@
     : m_context(context)
     , m_request(std::move(request))
     , m_writer(std::move(writer))
+    , m_suspect(context)
     , m_startedAt(io::hostNow())
     , m_relayed(std::move(relayed))
 { }
@@ -171,8 +172,8 @@
 {
     const io::RequestHead &head = m_request->head();
     const io::HttpHeader *host = io::findField(head.headers, "Host");
-    m_fingerprint = RequestFingerprint{
-        {head.method, host ? std::string_view{host->value} : "", head.target, *m_body}};
+    m_suspect.setFingerprint(RequestFingerprint{
+        {head.method, host ? std::string_view{host->value} : "", head.target, *m_body}});
 }
 
 /**
@@ -181,9 +182,7 @@
  */
 bool ForwardExchange::refuseIfQuarantined()
 {
-    if (!m_fingerprint)
-        return false;
-    const RequestAdmission admission = m_context.admission(*m_fingerprint);
+    const RequestAdmission admission = m_suspect.admission();
     if (admission != RequestAdmission::Blocked && admission != RequestAdmission::ProbedElsewhere)
         return false;
     m_context.counters.add(EntryCounter::RefusedCrashing);
@@ -194,21 +193,6 @@
     return true;
 }
 
-/** \returns whether the request may be sent: it is not suspect, or is now the only probe. */
-bool ForwardExchange::beginProbe()
-{
-    if (m_context.admission(*m_fingerprint) == RequestAdmission::Unrestricted)
-        return true;
-    m_isProbe = m_context.probes.insert(*m_fingerprint).second;
-    return m_isProbe;
-}
-
-void ForwardExchange::endProbe()
-{
-    if (std::exchange(m_isProbe, false))
-        m_context.probes.erase(*m_fingerprint);
-}
-
 void ForwardExchange::handleQuarantineChange()
 {
     // Whoever has a copy decides by its own quarantine, and its answer is still to come.
@@ -243,7 +227,7 @@
         queryPermit(server);
         return;
     }
-    if (!beginProbe()) {
+    if (!m_suspect.beginProbe()) {
         m_context.counters.add(EntryCounter::RefusedCrashing);
         asio::post(m_context.loop,
                    [self = shared_from_this()] { self->refuse(refusal::mayCrash); });
@@ -252,8 +236,7 @@
     m_sentAt = io::hostNow();
     m_server = server.id;
     ++m_attempts;
-    const auto crashedBefore = m_context.quarantine->crashedServers(*m_fingerprint);
-    m_crashedBefore.assign(crashedBefore.begin(), crashedBefore.end());
+    m_suspect.beginAttempt(m_server);
     m_context.counters.add(EntryCounter::AttemptsSent);
     if (m_context.limits.recordSend(m_server))
         m_context.counters.add(EntryCounter::AttemptsToLimited);
@@ -389,7 +372,7 @@
     m_call.reset();
     if (result.stage != io::TransferStage::NotConnected)
         m_usedConnections.push_back(result.connection);
-    endProbe();
+    m_suspect.endProbe();
     m_trace.log(m_terms.id, m_server, result.times);
     if (m_isFinished)
         return;
@@ -426,7 +409,7 @@
         handleRefusal(statement, response.status);
         return;
     }
-    recordCrashEvidence(response.status);
+    m_suspect.recordAnswer(response.status);
     // No encoding was requested, so an encoded body can't be the intended answer.
     const bool isEncoded = io::findField(response.headers, "Content-Encoding") != nullptr;
     if (isEncoded || isFailure) {
@@ -522,7 +505,7 @@
                                   now - m_sentAt, std::nullopt, now);
     io::logEvent(LogLevel::Info, "attempt-broke",
                  {{"request", m_terms.id},
-                  {"fingerprint", m_fingerprint->toString()},
+                  {"fingerprint", m_suspect.fingerprintText()},
                   {"path", m_request->head().target.substr(0, maxLoggedPathLength)},
                   {"server", m_server.value()},
                   {"sent", isUnsent ? "no" : "yes"},
@@ -533,7 +516,7 @@
         return;
     }
     m_copies->recordMayHaveRun(m_copy);
-    recordLostAttempt(CrashWatch::Loss::Broke);
+    m_suspect.recordLoss(CrashWatch::Loss::Broke);
     if (!retryOnOtherServer())
         finishUnknown(UnknownStatus::BadGateway, "answer-lost");
 }
@@ -654,32 +637,12 @@
         return false;
     // Another server crashed during the request before, so this daemon does not send it to a third
     // one.
-    if (!m_crashedBefore.empty())
+    if (m_suspect.hasCrashedServers())
         return false;
     m_tried.push_back(m_server);
     return scheduleRetry(Duration::zero());
 }
 
-/** Records whether an answer shows that the request does not crash servers. */
-void ForwardExchange::recordCrashEvidence(int status)
-{
-    const Instant now = io::hostNow();
-    if (!m_context.crashes.answered({*m_fingerprint, m_server, m_crashedBefore}, status, now))
-        return;
-    m_context.answeredRequests.note(*m_fingerprint, now);
-    if (!m_context.quarantine->crashedServers(*m_fingerprint).empty())
-        m_context.crashHandlers.answered(*m_fingerprint);
-}
-
-/** Records that the server had the request and gave no answer: the request may have crashed it. */
-void ForwardExchange::recordLostAttempt(CrashWatch::Loss loss)
-{
-    const auto report =
-        m_context.crashes.lost({*m_fingerprint, m_server, m_crashedBefore}, loss, io::hostNow());
-    if (report)
-        m_context.crashHandlers.reported({*report});
-}
-
 /** Queues the request again. \returns false if no attempt, time or retry budget is left. */
 bool ForwardExchange::scheduleRetry(Duration delay)
 {
@@ -825,7 +788,7 @@
         const Instant now = io::hostNow();
         m_trace.log(m_terms.id, m_server, m_context.servers.times(*m_call));
         if (m_context.servers.isSent(*m_call))
-            recordLostAttempt(CrashWatch::Loss::Abandoned);
+            m_suspect.recordLoss(CrashWatch::Loss::Abandoned);
         m_context.servers.cancel(*m_call);
         m_context.gauges.attemptEnded(m_server, AttemptOutcome::Abandoned, now - m_sentAt,
                                       std::nullopt, now);
@@ -835,7 +798,7 @@
     if (m_relay)
         m_relay->cancel();
     m_context.openRelayCount -= m_relayed ? 1 : 0;
-    endProbe();
+    m_suspect.endProbe();
     m_context.queue.remove(m_ticket);
     m_writer.reset();
     // The entry in openRequests may be the last reference, so this one keeps the object alive until
@@ -860,7 +823,7 @@
                   {"reason", std::string{reason}},
                   {"route", m_route ? m_route->name : "none"},
                   {"service", m_service.value()},
-                  {"fingerprint", m_fingerprint ? m_fingerprint->toString() : "none"},
+                  {"fingerprint", m_suspect.fingerprintText()},
                   {"caller", std::string{caller()}},
                   {"key", m_terms.key ? std::to_string(*m_terms.key) : "none"},
                   {"owner", owned ? owned->owner.value() : ""},
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -10,9 +10,9 @@
 #include "platform/requestfields.h"
 #include "process/permit.h"
 #include "request/requestcopies.h"
-#include "request/requestfingerprint.h"
 #include "request/requestqueue.h"
 #include "requestpermit.h"
+#include "suspectcheck.h"
 #include "version/routingconfig.h"
 
 #include <memory>
@@ -69,10 +69,6 @@
     void readBody();
     void computeFingerprint();
     bool refuseIfQuarantined();
-    bool beginProbe();
-    void endProbe();
-    void recordLostAttempt(CrashWatch::Loss loss);
-    void recordCrashEvidence(int status);
     void enqueue(Instant notBefore);
     bool hasPermit(const ServerName &server, Instant now) const;
     Duration maxPermitWait(const ServerRecord &server, Instant now) const;
@@ -123,8 +119,7 @@
     ServiceName m_service;
     bool m_isDividedByKey = false;
     std::shared_ptr<std::string> m_body = std::make_shared<std::string>();
-    /** Of the complete request; nothing until its body has arrived. */
-    std::optional<RequestFingerprint> m_fingerprint;
+    SuspectCheck m_suspect;
     std::uint64_t m_ticket = 0;
     Instant m_startedAt;
     Instant m_answerBy;
@@ -149,12 +144,8 @@
     RequestPermit m_permit;
     /** Time after which a server will take requests again; zero if that is unknown. */
     Duration m_availableIn{};
-    /** Runs that were known, when the request was sent, to have crashed during it. */
-    std::vector<ServerName> m_crashedBefore;
     /** The answer of a server that failed, returned if no other attempt succeeds. */
     std::optional<io::HttpResponse> m_failedAnswer;
-    /** This is the one copy of a suspect request that is at a server. */
-    bool m_isProbe = false;
     bool m_isFinished = false;
 };
 
