Handle no request whose connection was closed with 408

A host that stood still past the time to read a request may get the timer and the last bytes of the request in one round: the caller got 408, which promises that the request did not run, and then the request was handled. Closing a connection did not stop its last read.

A closed connection accepts no request.

--- a/src/libbulrushio/connection/callerconnection.cpp
+++ b/src/libbulrushio/connection/callerconnection.cpp
@@ -141,7 +141,8 @@
 
 bool CallerConnection::acceptsRequests() const
 {
-    return m_acceptsRequests;
+    // A request that was being read when the connection closed may still complete.
+    return m_acceptsRequests && isOpen();
 }
 
 void CallerConnection::closeIfIdle()
--- a/tests/callerserver/test_callerserver.cpp
+++ b/tests/callerserver/test_callerserver.cpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <random>
+#include <thread>
 #include <vector>
 
 using namespace bulrush;
@@ -204,6 +205,28 @@
     BOOST_TEST(answerTo("").empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(requestThatIsRefusedAsLateIsNotHandledAfterAFreeze, Fixture)
+{
+    CallerServerSettings settings;
+    settings.requestReadTimeout = 200ms;
+    serve(settings);
+    asio::ip::tcp::socket caller{loop};
+    caller.connect({asio::ip::address_v4::loopback(), server->port()});
+    loop.run_for(75ms);
+    // More than one read of the server; meanwhile its time to come runs out.
+    const std::size_t length = 12'000;
+    asio::write(caller, asio::buffer(postHead(length) + std::string(length, 'x')));
+    std::this_thread::sleep_for(400ms);
+    loop.restart();
+    loop.run_for(300ms);
+    std::string answer(std::size_t{4096}, '\0');
+    asio::error_code ignored;
+    caller.non_blocking(true);
+    answer.resize(caller.read_some(asio::buffer(answer), ignored));
+    BOOST_TEST((exchanges.empty() || !answer.starts_with("HTTP/1.1 408")));
+    BOOST_TEST(exchanges.size() <= 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(sendsNoRefusalDuringAnAnswer, Fixture)
 {
     handle = [](Exchange &exchange) {
