Pass on another daemon's advice not to retry, and name the right server

A relayed request that another daemon refuses as one that crashes servers got a Retry-After from the daemon that relayed it. And the answer of a server that failed, returned after a later attempt, named the server of that attempt, so that an announcement in it was recorded for the wrong one.

Measured: requestThatCrashesServersIsNotToldToComeBackByAnotherDaemon fails before and passes now; the second fault has no test.

--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -47,6 +47,12 @@
         || error == io::TransportError::ConnectionLost || error == io::TransportError::TimedOut;
 }
 
+/** \returns whether another daemon's \a refusal lets the caller retry. */
+RetryAdvice adviceOf(const io::HttpResponse &refusal)
+{
+    return io::findField(refusal.headers, "Retry-After") ? RetryAdvice::Later : RetryAdvice::Never;
+}
+
 } // namespace
 
 ForwardExchange::ForwardExchange(ForwardContext &context,
@@ -414,7 +420,7 @@
     const bool isEncoded = io::findField(response.headers, "Content-Encoding") != nullptr;
     if (isEncoded || isFailure) {
         if (!isEncoded && !isNotRunStatus(response.status))
-            m_failedAnswer = response;
+            m_failedAnswer = FailedAnswer{m_server, response};
         if (retryOnOtherServer())
             return;
     }
@@ -592,7 +598,7 @@
         return;
     case RelayOutcome::NotRun:
         recordRelayedBackoff(result.response);
-        refuse(reason);
+        refuse(reason, adviceOf(result.response));
         return;
     case RelayOutcome::Denied:
     case RelayOutcome::CutOff:
@@ -724,8 +730,9 @@
 void ForwardExchange::finishUnknown(UnknownStatus status, std::string_view reason)
 {
     // The answer of a server that failed is more useful to the caller than an unknown outcome.
-    if (m_failedAnswer) {
-        returnAnswer(*std::exchange(m_failedAnswer, std::nullopt));
+    if (const auto failed = std::exchange(m_failedAnswer, std::nullopt)) {
+        m_server = failed->server;
+        returnAnswer(failed->response);
         return;
     }
     m_context.counters.add(EntryCounter::EndedUnknown);
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -22,6 +22,12 @@
 
 namespace bulrush {
 
+/** When a refused caller may retry. */
+enum class RetryAdvice {
+    Later, ///< the refusal states the delay
+    Never,
+};
+
 /**
  * Handles one caller's request from its arrival to its outcome: the server's own answer, a refusal
  * that states that it did not run and when to retry, or an unknown outcome. A request that is given
@@ -52,11 +58,6 @@
      */
     void giveUp(GiveUpReason reason, Duration availableIn);
 
-    enum class RetryAdvice {
-        Later, ///< the refusal states the delay
-        Never,
-    };
-
     /** Refuses the request: as not run if that can be proved, otherwise with an unknown outcome. */
     void refuse(std::string_view reason, RetryAdvice advice = RetryAdvice::Later);
 
@@ -144,8 +145,15 @@
     RequestPermit m_permit;
     /** Time after which a server will take requests again; zero if that is unknown. */
     Duration m_availableIn{};
-    /** The answer of a server that failed, returned if no other attempt succeeds. */
-    std::optional<io::HttpResponse> m_failedAnswer;
+    /** The answer of a server that failed. */
+    struct FailedAnswer
+    {
+        ServerName server;
+        io::HttpResponse response;
+    };
+
+    /** Returned if no other attempt succeeds. */
+    std::optional<FailedAnswer> m_failedAnswer;
     bool m_isFinished = false;
 };
 
--- a/tests/forwardworker/test_refusedrequests.cpp
+++ b/tests/forwardworker/test_refusedrequests.cpp
@@ -159,6 +159,15 @@
     BOOST_TEST(result.status == 200);
 }
 
+BOOST_FIXTURE_TEST_CASE(requestThatCrashesServersIsNotToldToComeBackByAnotherDaemon, RelayFixture)
+{
+    helper.setQuarantine(quarantineOf("/late"));
+    const SyncHttpResult result = cutOff.send("/late");
+    BOOST_TEST(result.status == 503);
+    BOOST_TEST(!result.header("Retry-After").has_value());
+    BOOST_TEST(server.runs == 0);
+}
+
 BOOST_AUTO_TEST_CASE(secondAnswerToARefusedAttemptIsNotThatToItsRepeat)
 {
     RefusingOwner owner;
