Keep the pairs of test_requeststates apart

Servers out of reach had ports that were free a moment ago, and could be a server's of another pair: once of five runs three pairs failed by that (a request of another pair counted as a second run). They have a port now at which nothing listens. The time to answer counts from when the request is written.

--- a/tests/forwardworker/test_requeststates.cpp
+++ b/tests/forwardworker/test_requeststates.cpp
@@ -32,6 +32,9 @@
 /** More than the buffers of a connection hold. */
 const std::string largeBody(std::size_t{12} << 20, 'x');
 
+/** Nothing listens there. Ports that were free a moment ago may be a server's in another pair. */
+const std::vector<Endpoint> refusingServers = {{"127.0.0.1", 1}, {"127.0.0.2", 1}};
+
 bool isPromise(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -57,7 +60,6 @@
     void send(const std::string &path, const std::string &body, bool isWhole = true)
     {
         caller.emplace(node.port());
-        answerBy = Clock::now() + deadline + lateness;
         requestPath = path;
         requestBody = body;
         const std::string head = (body.empty() ? "GET " : "POST ") + path
@@ -70,6 +72,7 @@
         unwritten = body;
         if (isWhole)
             writeBody();
+        answerBy = Clock::now() + deadline + lateness;
     }
 
     void writeBody()
@@ -159,7 +162,7 @@
 /** Makes the first daemon reach no server, so that it relays to \a relays. */
 void cutOff(World &world, const std::vector<RelayDaemon> &relays)
 {
-    auto state = routingState({refusingAddress(), refusingAddress()});
+    auto state = routingState(refusingServers);
     state->relays = relays;
     world.setState(state);
     std::this_thread::sleep_for(20ms);
@@ -177,7 +180,7 @@
 bool relayedAfterADenial(World &world)
 {
     world.denier = std::make_unique<TrafficNode>("a2");
-    world.denier->setState(routingState({refusingAddress(), refusingAddress()}));
+    world.denier->setState(routingState(refusingServers));
     world.helper = std::make_unique<TrafficNode>("b1");
     world.helper->setState(routingState({world.server.endpoint()}));
     cutOff(world, {world.denier->relay(), world.helper->relay()});
