Take a reason for a refusal only with the statement that the request did not run

In the mode without the users' platform a server's 500 with a reason such as "deadline" or "shed", but without X-Bulrush-Ran: no, counted as certainly not run: the caller got that promise, the request could be sent again, and its claim said that it did not run. The reason was looked up before the statement. The decision has a file of its own now. Found by the review of REFUSED.

--- a/src/bulrushswitchd/attempt.cpp
+++ b/src/bulrushswitchd/attempt.cpp
@@ -1,5 +1,6 @@
 #include "attempt.h"
 
+#include "attemptfailure.h"
 #include "connection/transporterror.h"
 #include "process/counters.h"
 #include "process/hostclock.h"
@@ -36,38 +37,6 @@
     return FailurePoint::NoServer;
 }
 
-FailurePoint failurePointOf(io::TransferStage stage, std::error_code error)
-{
-    switch (stage) {
-    case io::TransferStage::NotConnected:
-        return error == io::TransportError::TimedOut ? FailurePoint::ConnectTimedOut
-                                                     : FailurePoint::ConnectRefused;
-    case io::TransferStage::Sending:
-        return FailurePoint::PartlyWritten;
-    case io::TransferStage::Sent:
-    case io::TransferStage::Answered:
-        break;
-    }
-    if (error == io::TransportError::TimedOut)
-        return FailurePoint::WrittenAndSilent;
-    if (error == io::TransportError::AnswerMismatched)
-        return FailurePoint::AnswerNotMatching;
-    if (error == io::TransportError::CallerDisconnected)
-        return FailurePoint::CancelledAfterWrite;
-    return error == io::TransportError::ConnectionLost ? FailurePoint::ResetAfterWrite
-                                                       : FailurePoint::AnswerCut;
-}
-
-/** \returns the failure point \a name as reported by another daemon, or nothing. */
-std::optional<FailurePoint> failurePointByName(const std::string &name)
-{
-    for (const FailurePoint point : allFailurePoints()) {
-        if (nameOf(point) == name)
-            return point;
-    }
-    return std::nullopt;
-}
-
 /** Classifies the result of an exchange for the server's load accounting. */
 WorkResult toWorkEnd(const io::ExchangeResult &end, std::optional<FailurePoint> failure)
 {
@@ -132,22 +101,6 @@
     return fence;
 }
 
-std::optional<FailurePoint> failurePointOf(const io::ExchangeResult &end)
-{
-    if (!end.error)
-        return std::nullopt;
-    if (end.error != io::TransportError::ServerRefused)
-        return failurePointOf(end.stage, end.error);
-    if (const auto named = failurePointByName(end.reason))
-        return named;
-
-    const Outcome outcome =
-        outcomeOfAnswer(end.status, io::parseRanStatement(end.ran), end.reason, Duration{});
-    if (const auto *notRun = std::get_if<NotRun>(&outcome))
-        return notRun->reason;
-    return FailurePoint::AnswerWithoutRan;
-}
-
 ServerAttempt::ServerAttempt(TrafficContext &context, CallerStreams caller, AttemptSpec spec,
                              AttemptHandler handler)
     : m_context(context)
--- a/src/bulrushswitchd/attempt.h
+++ b/src/bulrushswitchd/attempt.h
@@ -136,9 +136,6 @@
     std::shared_ptr<io::ProxyExchange> m_exchange;
 };
 
-/** \returns where an exchange failed, or nothing if its complete answer was sent to the caller. */
-std::optional<FailurePoint> failurePointOf(const io::ExchangeResult &end);
-
 /** Header fields of relayed requests, in addition to those of the backend servers' interface. */
 namespace relayfields {
 constexpr const char *server = "X-Bulrush-Server";
