Read no statement from trailers, padded names, or fields that contradict each other

Each of these made a caller's 503 for a request that its server had got: the statement or the id in the trailer of a chunked answer; an Instance-Id with white space behind it, or empty, in a 421, which counted as another server's; two request ids of which the first was right; two outcomes, or two ids, in the answer of another daemon. Fields of a trailer are not fields of the answer, values lose white space at their ends, all ids of an answer have to be the request's, and one name or outcome is expected where two would contradict. White space behind an id also made the right answer a stranger's.

--- a/src/libbulrushentry/relaymessage.cpp
+++ b/src/libbulrushentry/relaymessage.cpp
@@ -82,7 +82,9 @@
 {
     const io::HttpHeader *outcome = io::findField(headers, outcomeField);
     const io::HttpHeader *reason = io::findField(headers, reasonField);
-    if (!outcome || !reason)
+    const bool isAmbiguous = io::fieldValues(headers, outcomeField).size() > 1
+        || io::fieldValues(headers, requestField).size() > 1;
+    if (!outcome || !reason || isAmbiguous)
         return std::nullopt;
     const io::HttpHeader *server = io::findField(headers, serverField);
     const io::HttpHeader *request = io::findField(headers, requestField);
--- a/src/libbulrushio/connection/answerparser.cpp
+++ b/src/libbulrushio/connection/answerparser.cpp
@@ -31,6 +31,7 @@
     m_error = {};
     m_headerBytes = 0;
     m_isHead = isHead;
+    m_isHeadComplete = false;
     m_isValueLast = false;
     m_hasBegun = false;
     m_isComplete = false;
@@ -109,6 +110,8 @@
 int AnswerParser::onFieldName(http_parser *parser, const char *at, std::size_t length)
 {
     AnswerParser &answer = self(parser);
+    if (answer.m_isHeadComplete)
+        return answer.addHeaderBytes(length) ? 0 : -1;
     std::vector<HttpHeader> &headers = answer.m_response.headers;
     if (headers.empty() || answer.m_isValueLast)
         headers.emplace_back();
@@ -120,6 +123,8 @@
 int AnswerParser::onFieldValue(http_parser *parser, const char *at, std::size_t length)
 {
     AnswerParser &answer = self(parser);
+    if (answer.m_isHeadComplete)
+        return answer.addHeaderBytes(length) ? 0 : -1;
     answer.m_isValueLast = true;
     answer.m_response.headers.back().value.append(at, length);
     return answer.addHeaderBytes(length) ? 0 : -1;
@@ -129,6 +134,10 @@
 {
     AnswerParser &answer = self(parser);
     answer.m_response.status = static_cast<int>(parser->status_code);
+    answer.m_isHeadComplete = true;
+    // The parser keeps white space at the end of values.
+    for (HttpHeader &header : answer.m_response.headers)
+        header.value = std::string{trimmed(header.value)};
     if (parser->upgrade != 0)
         return -1;
     return answer.m_isHead ? 1 : 0;
--- a/src/libbulrushio/connection/answerparser.h
+++ b/src/libbulrushio/connection/answerparser.h
@@ -72,6 +72,8 @@
     std::error_code m_error;
     std::size_t m_headerBytes = 0;
     bool m_isHead = false;
+    /** Fields after the head are those of a trailer. */
+    bool m_isHeadComplete = false;
     bool m_isValueLast = false;
     bool m_hasBegun = false;
     bool m_isComplete = false;
--- a/tests/platformadapter/test_platformformats.cpp
+++ b/tests/platformadapter/test_platformformats.cpp
@@ -45,6 +45,130 @@
     return text.replace(text.find(from), from.size(), to);
 }
 
+/** Who answers, by the field Instance-Id of the answer. */
+enum class Answerer {
+    Unnamed,
+    Addressed, ///< the server that the request was addressed to
+    Other,
+};
+
+/** How an answer names its request. */
+enum class IdSign {
+    None,
+    Right,
+    RightInOtherCase, ///< the field's name is in another case
+    OtherCase,        ///< the value is in another case
+    Prefix,
+    Longer,
+    Another,
+    Empty,
+    RightTwice,
+    RightThenAnother,
+    AnotherThenRight,
+};
+
+/** An answer to the request r-1, which was addressed to the server i-1. */
+struct StatedAnswer
+{
+    int status = 0;
+    bool isStated = false;
+    bool isStatementNameInOtherCase = false;
+    IdSign id = IdSign::None;
+    Answerer answerer = Answerer::Unnamed;
+
+    std::vector<io::HttpHeader> headers() const
+    {
+        std::vector<io::HttpHeader> fields = idFields();
+        if (answerer != Answerer::Unnamed)
+            fields.push_back(
+                {"X-Bulrushswitch-Instance-Id", answerer == Answerer::Addressed ? "i-1" : "i-2"});
+        if (isStated)
+            fields.push_back({isStatementNameInOtherCase ? "x-BULRUSHSWITCH-not-executed"
+                                                         : "X-Bulrushswitch-Not-Executed",
+                              "1"});
+        return fields;
+    }
+
+    bool hasRightId() const
+    {
+        return id == IdSign::Right || id == IdSign::RightInOtherCase || id == IdSign::RightTwice;
+    }
+
+    /** \returns whether another server than the one addressed refuses requests for it. */
+    bool isReplaced() const
+    {
+        return status == 421 && answerer == Answerer::Other;
+    }
+
+    /** \returns whether the server states, about this request, that it did not run it. */
+    bool isNotRun() const
+    {
+        const bool isRefusal = status == 400 || status == 421 || status == 429 || status == 503;
+        return hasRightId() && isRefusal && (isStated || isReplaced());
+    }
+
+private:
+    std::vector<io::HttpHeader> idFields() const
+    {
+        const std::string name{requestIdField};
+        switch (id) {
+        case IdSign::None:
+            return {};
+        case IdSign::Right:
+            return {{name, "r-1"}};
+        case IdSign::RightInOtherCase:
+            return {{"x-bulrushswitch-REQUEST-id", "r-1"}};
+        case IdSign::OtherCase:
+            return {{name, "R-1"}};
+        case IdSign::Prefix:
+            return {{name, "r-"}};
+        case IdSign::Longer:
+            return {{name, "r-11"}};
+        case IdSign::Another:
+            return {{name, "s-1"}};
+        case IdSign::Empty:
+            return {{name, ""}};
+        case IdSign::RightTwice:
+            return {{name, "r-1"}, {name, "r-1"}};
+        case IdSign::RightThenAnother:
+            return {{name, "r-1"}, {name, "s-1"}};
+        case IdSign::AnotherThenRight:
+            return {{name, "s-1"}, {name, "r-1"}};
+        }
+        return {};
+    }
+};
+
+/** \returns all answers with one of \a ids. */
+std::vector<StatedAnswer> statedAnswers(const std::vector<IdSign> &ids)
+{
+    std::vector<StatedAnswer> answers;
+    for (const int status :
+         {200, 202, 204, 302, 400, 404, 408, 409, 421, 429, 500, 501, 502, 503, 504}) {
+        for (const IdSign id : ids) {
+            for (const Answerer answerer :
+                 {Answerer::Unnamed, Answerer::Addressed, Answerer::Other}) {
+                answers.push_back({status, false, false, id, answerer});
+                answers.push_back({status, true, false, id, answerer});
+                answers.push_back({status, true, true, id, answerer});
+            }
+        }
+    }
+    return answers;
+}
+
+/** Checks what \a answer states against the rule. */
+void checkVerdict(const StatedAnswer &answer)
+{
+    const ServerStatement statement =
+        serverStatement(answer.status, answer.headers(), {ServerName{"i-1"}, "r-1"});
+    BOOST_TEST(statement.isNotRun == answer.isNotRun(),
+               "status " << answer.status << ", stated " << answer.isStated << ", id "
+                         << static_cast<int>(answer.id) << ", answerer "
+                         << static_cast<int>(answer.answerer));
+    BOOST_TEST((!statement.isReplaced || answer.isReplaced()));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(base64RoundTrip)
@@ -306,6 +430,49 @@
     BOOST_TEST(!serverStatement(503, wrong, target).load.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(answerStatesThatItsRequestDidNotRunOnlyWithARefusingStatusAndTheRequestsId)
+{
+    for (const StatedAnswer &answer : statedAnswers(
+             {IdSign::None, IdSign::Right, IdSign::RightInOtherCase, IdSign::OtherCase,
+              IdSign::Prefix, IdSign::Longer, IdSign::Another, IdSign::Empty, IdSign::RightTwice}))
+        checkVerdict(answer);
+}
+
+BOOST_AUTO_TEST_CASE(answerThatNamesTwoRequestsStatesNothingAboutEither)
+{
+    for (const StatedAnswer &answer :
+         statedAnswers({IdSign::RightThenAnother, IdSign::AnotherThenRight}))
+        checkVerdict(answer);
+}
+
+BOOST_AUTO_TEST_CASE(twoServersInOneAnswerDoNotMakeItThatOfAnother)
+{
+    const std::vector<io::HttpHeader> headers = {{"X-Bulrushswitch-Request-Id", "r-1"},
+                                                 {"X-Bulrushswitch-Instance-Id", "i-2"},
+                                                 {"x-bulrushswitch-instance-id", "i-1"}};
+    BOOST_TEST(!serverStatement(421, headers, {ServerName{"i-1"}, "r-1"}).isNotRun);
+}
+
+BOOST_AUTO_TEST_CASE(emptyOrPaddedNameOfTheAnsweringServerIsNotThatOfAnotherServer)
+{
+    for (const std::string name : {"", " ", "i-1 ", " i-1", "i-1\t"}) {
+        const std::vector<io::HttpHeader> headers = {{"X-Bulrushswitch-Request-Id", "r-1"},
+                                                     {"X-Bulrushswitch-Instance-Id", name}};
+        const ServerStatement statement = serverStatement(421, headers, {ServerName{"i-1"}, "r-1"});
+        BOOST_TEST(!statement.isNotRun, '"' << name << '"');
+        BOOST_TEST(!statement.isReplaced, '"' << name << '"');
+    }
+}
+
+BOOST_AUTO_TEST_CASE(otherRunOfTheAddressedServerIsTheSameServer)
+{
+    const std::vector<io::HttpHeader> headers = {{"X-Bulrushswitch-Request-Id", "r-1"},
+                                                 {"X-Bulrushswitch-Instance-Id", "i-1"}};
+    const ServerName run{runName("i-1", 100)};
+    BOOST_REQUIRE(run.value() != "i-1");
+    BOOST_TEST(!serverStatement(421, headers, {run, "r-1"}).isNotRun);
+}
+
 BOOST_AUTO_TEST_CASE(limitIsANumberFromZeroThatOccursOnce)
 {
     const auto limitOf = [](const std::vector<io::HttpHeader> &headers) {
