Give a call no answer that came before it was sent, nor an earlier time-out

- The handler of a time-out that is already queued can't be cancelled: after a pause of the process the time-out of an answered call ended the next one, and that of connecting ended a call that had just been written, as one that may have run.
- Bytes that arrive while a call is withdrawn ended it as answered, or were left for the next call.
The connection is closed instead.
- A 408 on a connection that was opened without a call became the answer to its first one.
Opening counts as a call.

--- a/src/libbulrushio/connection/serverconnection.cpp
+++ b/src/libbulrushio/connection/serverconnection.cpp
@@ -86,6 +86,7 @@
 {
     m_openHandler = std::move(handler);
     m_isOpening = true;
+    ++m_callCount;
     m_call.connectTimeout = like.connectTimeout;
     m_call.timeout = like.timeout;
     m_call.acknowledgeTimeout = like.acknowledgeTimeout;
@@ -98,7 +99,7 @@
         return;
     m_isClosed = true;
     m_handler = nullptr;
-    m_timer.cancel();
+    stopTimer();
     asio::error_code ignored;
     m_socket.close(ignored);
     asio::post(m_loop, [self = shared_from_this()] { self->m_stateHandler(self); });
@@ -149,7 +150,7 @@
     m_isConnected = true;
     setOptions();
     if (std::exchange(m_isOpening, false)) {
-        m_timer.cancel();
+        stopTimer();
         m_call = {};
         m_idleUntil = hostNow() + unusedIdleTimeout;
         read();
@@ -242,6 +243,12 @@
         close();
         return;
     }
+    if (m_stage == TransferStage::NotConnected) {
+        // Nothing of the call was sent, and the connection can't be kept.
+        m_isConnected = false;
+        endCall({TransportError::CallWithdrawn, m_stage, {}});
+        return;
+    }
     if (!error) {
         handleBytes({m_buffer.data(), length});
         return;
@@ -264,11 +271,19 @@
 /** Fails the current call or connection attempt at \a deadline. */
 void ServerConnection::startTimer(Instant deadline)
 {
+    stopTimer();
     m_timer.expires_after(std::max(Duration::zero(), deadline - hostNow()));
-    m_timer.async_wait([self = shared_from_this()](asio::error_code failure) {
-        if (!failure)
-            self->handleTimeout();
-    });
+    m_timer.async_wait(
+        [self = shared_from_this(), number = m_timerNumber](asio::error_code failure) {
+            if (!failure && number == self->m_timerNumber)
+                self->handleTimeout();
+        });
+}
+
+void ServerConnection::stopTimer()
+{
+    ++m_timerNumber;
+    m_timer.cancel();
 }
 
 void ServerConnection::extendDeadline(Instant deadline)
@@ -318,11 +333,13 @@
     if (m_call.echoedField.empty())
         return true;
     const HttpHeader *sentField = findField(m_call.headers, m_call.echoedField);
-    const HttpHeader *answerField = findField(response.headers, m_call.echoedField);
+    const std::vector<std::string_view> echoed = fieldValues(response.headers, m_call.echoedField);
     // Without the field, the answer can only be attributed if this is the connection's first call.
-    if (!answerField)
+    if (echoed.empty())
         return m_callCount == 1;
-    return sentField && sentField->value == answerField->value;
+    return sentField && std::ranges::all_of(echoed, [sentField](std::string_view value) {
+               return value == sentField->value;
+           });
 }
 
 /** Ends the current call, of which nothing was sent, and keeps the connection. */
@@ -359,7 +376,7 @@
 
 void ServerConnection::endCall(HttpResult result)
 {
-    m_timer.cancel();
+    stopTimer();
     const ServerCallHandler handler = std::exchange(m_handler, nullptr);
     m_call = {};
     m_head = {};
--- a/src/libbulrushio/connection/serverconnection.h
+++ b/src/libbulrushio/connection/serverconnection.h
@@ -103,6 +103,7 @@
     void read();
     void handleRead(std::error_code error, std::size_t length);
     void startTimer(Instant deadline);
+    void stopTimer();
     void extendDeadline(Instant deadline);
     void handleBytes(std::string_view bytes);
     /** \returns whether the answer belongs to the current call; any other answer is dropped. */
@@ -116,6 +117,8 @@
     asio::io_context &m_loop;
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
+    /** Distinguishes the current time-out from earlier ones whose handlers are already queued. */
+    std::uint64_t m_timerNumber = 0;
     Target m_target;
     StateHandler m_stateHandler;
     AnswerParser m_parser;
@@ -128,7 +131,7 @@
     Instant m_idleUntil;
     Instant m_deadline;
     CallTimes m_times;
-    /** The number of calls sent on this connection so far. */
+    /** The number of calls on this connection so far; opening it without a call counts as one. */
     int m_callCount = 0;
     bool m_isConnected = false;
     /** Whether the connection is being established without a call. */
--- a/tests/serverclient/test_serverclient.cpp
+++ b/tests/serverclient/test_serverclient.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE ServerClient
 
-#include "scriptedserver.h"
+#include "clientfixture.h"
 
 #include "connection/serverclient.h"
 #include "connection/transporterror.h"
@@ -17,65 +17,14 @@
 
 using namespace bulrush;
 using namespace bulrush::io;
+using namespace bulrush::test;
 using namespace std::chrono_literals;
 
 using Socket = ScriptedServer::Socket;
 
 namespace {
 
-/** Longer than any test takes, so that a time-out of this length fails the test. */
-constexpr Duration testTimeout = 20s;
-const std::string echoedFieldName = "Request-Id";
-
-std::string answerTo(const std::string &id, const std::string &body = "ok")
-{
-    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id
-        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-struct Fixture
-{
-    asio::io_context loop;
-    ServerClient client{loop};
-
-    ServerCall call(const ScriptedServer &server, const std::string &id, std::string body = {})
-    {
-        const std::string url = server.url("");
-        ServerCall serverCall;
-        serverCall.server = {"127.0.0.1",
-                             static_cast<std::uint16_t>(std::stoi(url.substr(url.rfind(':') + 1)))};
-        serverCall.method = body.empty() ? "GET" : "POST";
-        serverCall.headers = {{"Host", "x"}, {echoedFieldName, id}};
-        serverCall.body = std::make_shared<const std::string>(std::move(body));
-        serverCall.timeout = testTimeout;
-        serverCall.echoedField = echoedFieldName;
-        return serverCall;
-    }
-
-    HttpResult send(ServerCall serverCall)
-    {
-        std::optional<HttpResult> result;
-        client.send(std::move(serverCall),
-                    [&](HttpResult httpResult) { result = std::move(httpResult); });
-        BOOST_TEST(!result.has_value());
-        run([&] { return result.has_value(); });
-        return std::move(*result);
-    }
-
-    void run(const std::function<bool()> &isFinished)
-    {
-        loop.restart();
-        while (!isFinished() && loop.run_one() > 0) { }
-        BOOST_REQUIRE(isFinished());
-    }
-
-    /** Handles pending events of the connections. */
-    void settle()
-    {
-        loop.restart();
-        loop.run_for(50ms);
-    }
-};
+using Fixture = ClientFixture;
 
 } // namespace
 
