Join callers' answers with servers' runs by id in all fleets of processes

No test compared what callers were told with what servers ran: a refusal of a request that ran showed only where a case counted runs. Stand-in servers write each run to a file before it begins, and fleets that derive from CheckedFleet check at the end of each case that no id that was answered 408, 421, 429 or 503 was run, and that no request that may run once ran twice. Existing checks stay as they are.

--- a/tests/entryfleet/crashfleet.h
+++ b/tests/entryfleet/crashfleet.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entryfleet/entryfleet.h"
+#include "entryfleet/checkedfleet.h"
 
 #include <algorithm>
 #include <chrono>
@@ -17,7 +17,7 @@
  * in its path. restartCrashedServers() restarts them two seconds later. `/find/` is idempotent and
  * not divided by key.
  */
-struct CrashFleet : EntryFleet
+struct CrashFleet : CheckedFleet
 {
     using Clock = std::chrono::steady_clock;
 
@@ -28,7 +28,7 @@
     static constexpr std::size_t maxLateCrashes = 3;
 
     explicit CrashFleet(int runMs = 20)
-        : EntryFleet({"a1", "a2", "b1"})
+        : CheckedFleet({"a1", "a2", "b1"})
         , serviceMs(runMs)
     {
         writeConfig({"/find/"});
--- a/tests/entryfleet/domainfleet.h
+++ b/tests/entryfleet/domainfleet.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entryfleet/entryfleet.h"
+#include "entryfleet/checkedfleet.h"
 
 #include <algorithm>
 #include <chrono>
@@ -17,10 +17,10 @@
  * The default servers, and daemons of one failure domain, one of which reads the store for all of
  * them.
  */
-struct DomainFleet : EntryFleet
+struct DomainFleet : CheckedFleet
 {
     explicit DomainFleet(std::vector<std::string> daemons = {"a1", "a2", "a3"})
-        : EntryFleet(daemons)
+        : CheckedFleet(daemons)
         , hosts(std::move(daemons))
     {
         writeConfig();
--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -27,6 +27,8 @@
  */
 const std::string serverHostPart = "254";
 
+constexpr const char *requestIdHeader = "X-Bulrushswitch-Request-Id";
+
 std::string binaryPath(const std::string &name)
 {
     return std::string{BULRUSH_BINARY_DIR} + '/' + name;
@@ -88,6 +90,7 @@
                 / ("bulrush-entry-" + std::to_string(::getpid()) + '-' + std::to_string(number)))
                    .string();
     std::filesystem::create_directories(m_folder);
+    m_ledger = std::make_unique<PromiseLedger>(m_folder + "/runs");
     // Each fleet gets its own loopback addresses, so that fixed ports never collide. The address
     // depends on the process id, where 25,000 successive ids differ, and on the number of the fleet
     // within the process.
@@ -129,7 +132,8 @@
         "--listen",     server.address.empty() ? m_prefix + serverHostPart + ":0" : server.address,
         "--slots",      std::to_string(server.slots),
         "--service-ms", std::to_string(server.serviceMs),
-        "--clock-ppm",  "20000"};
+        "--clock-ppm",  "20000",
+        "--run-file",   m_ledger->runFile(server.id)};
     if (server.isKeyed)
         arguments.emplace_back("--keyed");
     if (server.hangsWhenFull)
@@ -302,6 +306,8 @@
         paths.append(route(prefix, "safe", "payments"));
     if (!m_split.empty())
         paths.append(splitRoute("/split/", m_split));
+    for (const Json::Value &additional : m_additionalRoutes)
+        paths.append(additional);
     Json::Value host;
     host["host"] = "shop.example";
     host["paths"] = paths;
@@ -332,6 +338,14 @@
     m_split = weights;
 }
 
+void EntryFleet::addRoute(const std::string &prefix, const std::string &kind,
+                          const std::string &service)
+{
+    m_additionalRoutes.push_back(route(prefix, kind, service));
+    if (kind != "safe")
+        m_runOncePrefixes.push_back(prefix);
+}
+
 void EntryFleet::limitColdServers(double rate, std::chrono::milliseconds duration)
 {
     m_coldRate = rate;
@@ -434,6 +448,14 @@
     m_http.post(server(id).address() + "/_control", json.toStyledString());
 }
 
+void EntryFleet::refuseRequests(const std::string &id, int count, bool isTwice)
+{
+    Json::Value json;
+    json["refuse"]["count"] = count;
+    json["refuse"]["twice"] = isTwice;
+    m_http.post(server(id).address() + "/_control", json.toStyledString());
+}
+
 void EntryFleet::announceLeaving(const std::string &id)
 {
     Json::Value json;
@@ -473,7 +495,18 @@
                                 const std::string &path, std::optional<int> key,
                                 const std::string &body, int deadlineMs)
 {
-    return m_http.send(makeRequest(host, method, path, key, body, deadlineMs));
+    const SyncHttpRequest request = makeRequest(host, method, path, key, body, deadlineMs);
+    const SyncHttpResult result = m_http.send(request);
+    recordAnswer(request, result);
+    return result;
+}
+
+void EntryFleet::recordAnswer(const SyncHttpRequest &request, const SyncHttpResult &result)
+{
+    for (const SyncHttpHeader &header : request.headers) {
+        if (header.name == requestIdHeader)
+            m_ledger->recordAnswer(header.value, result.status);
+    }
 }
 
 SyncHttpRequest EntryFleet::makeRequest(const std::string &host, const std::string &method,
@@ -486,7 +519,7 @@
     request.body = body;
     request.headers = {
         {"Host", "shop.example"},
-        {"X-Bulrushswitch-Request-Id", "r" + std::to_string(m_nextRequest++)},
+        {requestIdHeader, "r" + std::to_string(m_nextRequest++)},
         {"X-Bulrushswitch-Deadline-Ms", std::to_string(deadlineMs)},
     };
     if (key)
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entryfleet/promiseledger.h"
 #include "standinprocess/childprocess.h"
 #include "standinprocess/synchttpclient.h"
 
@@ -120,6 +121,9 @@
      */
     void splitTraffic(const std::map<std::string, int> &weights);
 
+    /** Adds the route \a prefix of \a kind to all configurations written from now on. */
+    void addRoute(const std::string &prefix, const std::string &kind, const std::string &service);
+
     /**
      * Adds to all configurations written from now on that servers bear \a rate requests a second
      * for \a duration after their start.
@@ -158,7 +162,7 @@
 
     /**
      * Makes the server send \a count of its next answers with the fault \a mode: "lose", "cut",
-     * "unframed" or "twice".
+     * "unframed", "twice" or "deny", which states falsely that the request did not run.
      */
     void injectAnswerFaults(const std::string &id, const std::string &mode, int count);
 
@@ -180,6 +184,12 @@
      */
     void askForBackoff(const std::string &id, const std::string &retryAfter);
 
+    /**
+     * Makes the server refuse the next \a count requests with the statement that they did not run.
+     * If \a isTwice, it sends each of these refusals again later, on the same connection.
+     */
+    void refuseRequests(const std::string &id, int count, bool isTwice);
+
     /** Makes the server announce in each of its answers that it leaves. */
     void announceLeaving(const std::string &id);
 
@@ -203,6 +213,15 @@
                         int deadlineMs = 4000);
     SyncHttpResult read(const std::string &host, int key);
 
+    /** Records in the ledger what a caller got by another way than send(). Thread safe. */
+    void recordAnswer(const SyncHttpRequest &request, const SyncHttpResult &result);
+
+    /** \returns the answers of callers and the runs of all servers, also of those that ended. */
+    const PromiseLedger &ledger() const;
+
+    /** \returns the prefixes of the paths of requests that may run once. */
+    const std::vector<std::string> &runOncePrefixes() const;
+
     /** \returns the request that send() sends, with a new id. May be called by several threads. */
     SyncHttpRequest makeRequest(const std::string &host, const std::string &method,
                                 const std::string &path, std::optional<int> key,
@@ -260,11 +279,14 @@
     std::string m_prefix;
     /** Last byte of the first host's address. A fleet has at most eight hosts. */
     int m_firstHost = 1;
+    std::unique_ptr<PromiseLedger> m_ledger;
     std::unique_ptr<ChildProcess> m_store;
     std::map<std::string, ServerSpec> m_serverSpecs;
     std::map<std::string, std::unique_ptr<ChildProcess>> m_servers;
     std::map<std::string, std::unique_ptr<ChildProcess>> m_daemons;
     std::map<std::string, int> m_split;
+    std::vector<Json::Value> m_additionalRoutes;
+    std::vector<std::string> m_runOncePrefixes{"/pay/", "/upload/", "/split/"};
     double m_coldRate = 0.0;
     std::chrono::milliseconds m_coldDuration{0};
     int m_version = 0;
@@ -274,4 +296,14 @@
     SyncHttpClient m_http;
 };
 
+inline const PromiseLedger &EntryFleet::ledger() const
+{
+    return *m_ledger;
+}
+
+inline const std::vector<std::string> &EntryFleet::runOncePrefixes() const
+{
+    return m_runOncePrefixes;
+}
+
 } // namespace bulrush::test
--- a/tests/entryfleet/limitedfleet.h
+++ b/tests/entryfleet/limitedfleet.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entryfleet/entryfleet.h"
+#include "entryfleet/checkedfleet.h"
 
 #include <algorithm>
 #include <chrono>
@@ -46,10 +46,10 @@
 };
 
 /** Six daemons in two domains whose servers can be made to name limits. Not thread safe. */
-struct LimitedFleet : EntryFleet
+struct LimitedFleet : CheckedFleet
 {
     LimitedFleet()
-        : EntryFleet({"a1", "a2", "a3", "b1", "b2", "b3"})
+        : CheckedFleet({"a1", "a2", "a3", "b1", "b2", "b3"})
     {
         writeConfig();
         startServers();
--- a/tests/entryfleet/partitionedfleet.h
+++ b/tests/entryfleet/partitionedfleet.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entryfleet/entryfleet.h"
+#include "entryfleet/checkedfleet.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -28,10 +28,10 @@
 };
 
 /** Six daemons in two domains that can be partitioned from servers. Not thread safe. */
-struct PartitionedFleet : EntryFleet
+struct PartitionedFleet : CheckedFleet
 {
     PartitionedFleet()
-        : EntryFleet({"a1", "a2", "a3", "b1", "b2", "b3"})
+        : CheckedFleet({"a1", "a2", "a3", "b1", "b2", "b3"})
     {
         writeConfig();
         startServers();
@@ -132,7 +132,9 @@
             const SyncHttpRequest request = isRead
                 ? makeRequest(host, "GET", "/read/" + std::to_string(key), key, "", deadlineMs)
                 : makeRequest(host, "POST", "/pay/x", std::nullopt, "x", deadlineMs);
-            const int status = client.send(request).status;
+            const SyncHttpResult answer = client.send(request);
+            recordAnswer(request, answer);
+            const int status = answer.status;
             ++result.sent;
             result.served += status == 200 ? 1 : 0;
             if (!isRead && status == notRunStatus)
--- a/tests/entryfleet/restartfleet.h
+++ b/tests/entryfleet/restartfleet.h
@@ -1,16 +1,16 @@
 #pragma once
 
-#include "entryfleet/entryfleet.h"
+#include "entryfleet/checkedfleet.h"
 
 #include <string>
 
 namespace bulrush::test {
 
 /** Servers of service catalogue with a start time in their records, which identifies each run. */
-struct RestartFleet : EntryFleet
+struct RestartFleet : CheckedFleet
 {
     RestartFleet()
-        : EntryFleet({"a1", "a2", "b1"})
+        : CheckedFleet({"a1", "a2", "b1"})
     {
         writeConfig();
         for (const std::string id : {"c1", "c2", "c3", "c4"})
--- a/tests/entryfleet/servingfleet.h
+++ b/tests/entryfleet/servingfleet.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entryfleet/entryfleet.h"
+#include "entryfleet/checkedfleet.h"
 
 #include <chrono>
 #include <string>
@@ -8,10 +8,10 @@
 namespace bulrush::test {
 
 /** One daemon in each of two failure domains with the default servers, serving all keys. */
-struct PairFleet : EntryFleet
+struct PairFleet : CheckedFleet
 {
     PairFleet()
-        : EntryFleet({"a1", "b1"})
+        : CheckedFleet({"a1", "b1"})
     {
         writeConfig();
         startServers();
@@ -21,10 +21,10 @@
 };
 
 /** Three daemons in two failure domains with the default servers, serving all keys. */
-struct ServingFleet : EntryFleet
+struct ServingFleet : CheckedFleet
 {
     ServingFleet()
-        : EntryFleet({"a1", "a2", "b1"})
+        : CheckedFleet({"a1", "a2", "b1"})
     {
         writeConfig();
         startServers();
--- a/tests/entryfleet/test_entryanswers.cpp
+++ b/tests/entryfleet/test_entryanswers.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE EntryAnswers
 
+#include "entryfleet/checkedfleet.h"
 #include "entryfleet/scriptedbackend.h"
 #include "entryfleet/servingfleet.h"
 #include "standinprocess/rawconnection.h"
@@ -26,10 +27,10 @@
 constexpr const char *attemptsSentMetric = "bulrush_attempts_sent_total";
 
 /** One daemon, and a scripted backend server as the only server of the service payments. */
-struct ScriptedFleet : EntryFleet
+struct ScriptedFleet : CheckedFleet
 {
     explicit ScriptedFleet(ScriptedServer::Script script)
-        : EntryFleet({"a1"})
+        : CheckedFleet({"a1"})
         , backend(std::move(script))
     {
         writeConfig();
--- a/tests/entryfleet/test_entrycrashes.cpp
+++ b/tests/entryfleet/test_entrycrashes.cpp
@@ -27,6 +27,7 @@
 {
 public:
     explicit ConcurrentCallers(CrashFleet &fleet)
+        : m_fleet(fleet)
     {
         constexpr std::size_t count = 12;
         for (std::size_t i = 0; i < count; ++i) {
@@ -58,11 +59,12 @@
             SyncHttpRequest request = prototype;
             request.headers.push_back({"X-Bulrushswitch-Request-Id",
                                        "e" + std::to_string(caller) + '-' + std::to_string(i)});
-            http.send(request);
+            m_fleet.recordAnswer(request, http.send(request));
             std::this_thread::sleep_for(100ms);
         }
     }
 
+    CrashFleet &m_fleet;
     std::atomic<bool> m_isStopped{false};
     std::vector<std::thread> m_threads;
 };
@@ -204,7 +206,7 @@
             request.headers = {{"Host", "shop.example"},
                                {"X-Bulrushswitch-Request-Id", "popular-" + host},
                                {"X-Bulrushswitch-Deadline-Ms", "4000"}};
-            http.send(request);
+            recordAnswer(request, http.send(request));
         });
     std::this_thread::sleep_for(800ms);
     for (const std::string id : {"p7", "p8", "p9"})
--- a/tests/entryfleet/test_entryevacuation.cpp
+++ b/tests/entryfleet/test_entryevacuation.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE EntryEvacuation
 
-#include "entryfleet/entryfleet.h"
+#include "entryfleet/checkedfleet.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -30,10 +30,10 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
 }
 
-struct TwoDomainFleet : EntryFleet
+struct TwoDomainFleet : CheckedFleet
 {
     TwoDomainFleet()
-        : EntryFleet({"a1", "a2", "a3", "b1", "b2", "b3"})
+        : CheckedFleet({"a1", "a2", "a3", "b1", "b2", "b3"})
     {
         limitColdServers(coldRate, 3s);
         writeConfig();
--- a/tests/entryfleet/test_entryshutdown.cpp
+++ b/tests/entryfleet/test_entryshutdown.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE EntryShutdown
 
-#include "entryfleet/entryfleet.h"
+#include "entryfleet/checkedfleet.h"
 #include "standinprocess/rawconnection.h"
 
 #include <boost/test/unit_test.hpp>
@@ -24,10 +24,10 @@
 /** Service time that keeps requests in flight during the other steps of a test. */
 constexpr int slowMs = 1500;
 
-struct SlowFleet : EntryFleet
+struct SlowFleet : CheckedFleet
 {
     SlowFleet()
-        : EntryFleet({"a1", "b1"})
+        : CheckedFleet({"a1", "b1"})
     {
         writeConfig();
         startServer({"p1", "payments", "a", false, slowMs});
@@ -48,7 +48,11 @@
         request.headers = {{"Host", "shop.example"},
                            {"X-Bulrushswitch-Request-Id", id},
                            {"X-Bulrushswitch-Deadline-Ms", std::to_string(deadlineMs)}};
-        return std::async(std::launch::async, [request] { return SyncHttpClient{}.send(request); });
+        return std::async(std::launch::async, [this, request] {
+            SyncHttpResult result = SyncHttpClient{}.send(request);
+            recordAnswer(request, result);
+            return result;
+        });
     }
 };
 
--- a/tests/entryfleet/test_entrystorerestored.cpp
+++ b/tests/entryfleet/test_entrystorerestored.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE EntryStoreRestored
 
+#include "entryfleet/checkedfleet.h"
 #include "entryfleet/servingfleet.h"
 
 #include <boost/test/unit_test.hpp>
@@ -107,10 +108,10 @@
 };
 
 /** As RestoredFleet, but the copy has no row that the daemons wrote. */
-struct EmptyCopyFleet : EntryFleet
+struct EmptyCopyFleet : CheckedFleet
 {
     EmptyCopyFleet()
-        : EntryFleet(hosts)
+        : CheckedFleet(hosts)
     {
         writeConfig();
         startServers();
--- a/tests/standins/keyed/keyedserver.cpp
+++ b/tests/standins/keyed/keyedserver.cpp
@@ -53,10 +53,9 @@
 std::optional<AnswerFault> parsedAnswerFault(const std::string &name)
 {
     static const std::map<std::string, AnswerFault> faults = {
-        {"lose", AnswerFault::Drop},
-        {"cut", AnswerFault::Truncate},
-        {"unframed", AnswerFault::OmitLength},
-        {"twice", AnswerFault::Duplicate},
+        {"lose", AnswerFault::Drop},           {"cut", AnswerFault::Truncate},
+        {"unframed", AnswerFault::OmitLength}, {"twice", AnswerFault::Duplicate},
+        {"deny", AnswerFault::Deny},
     };
     const auto found = faults.find(name);
     return found == faults.end() ? std::nullopt : std::optional{found->second};
@@ -76,7 +75,10 @@
     , m_listener(std::make_unique<Listener>(
           loop, m_settings.listener, [this](const RequestHandle &request) { serve(request); },
           [](ConnectionLimiter::ConnectionId) {}))
-{ }
+{
+    if (!m_settings.runFile.empty())
+        m_runFile.open(m_settings.runFile, std::ios::app);
+}
 
 KeyedServer::~KeyedServer() = default;
 
@@ -198,6 +200,10 @@
         refuse(request, 503, {{"Retry-After", m_backoff}});
         return;
     }
+    if (m_requestsToRefuse > 0) {
+        refuseOnDemand(request);
+        return;
+    }
     if (m_settings.requiresGrant && (!work.key || !m_leases.holds(*work.key, now()))) {
         refuse(request, 421, {});
         return;
@@ -217,18 +223,42 @@
     refuse(request, 503, {});
 }
 
-/** States in an answer with \a headers that \a request did not run. */
-void KeyedServer::refuse(const RequestHandle &request, int status,
-                         std::vector<HeaderField> headers) const
+/** \returns an answer with \a headers that states that \a request did not run. */
+Answer KeyedServer::refusal(const RequestHandle &request, int status,
+                            std::vector<HeaderField> headers) const
 {
     const std::vector<HeaderField> common = answerHeaders(headerField(request, requestIdHeader));
     headers.insert(headers.end(), common.begin(), common.end());
     headers.push_back({"X-Bulrushswitch-Not-Executed", "1"});
-    Listener::send(request, {status, std::move(headers), {}});
+    return {status, std::move(headers), {}};
+}
+
+void KeyedServer::refuse(const RequestHandle &request, int status,
+                         std::vector<HeaderField> headers) const
+{
+    Listener::send(request, refusal(request, status, std::move(headers)));
+}
+
+void KeyedServer::refuseOnDemand(const RequestHandle &request)
+{
+    --m_requestsToRefuse;
+    const Answer answer = refusal(request, 503, {});
+    if (m_areRefusalsDuplicated)
+        m_listener->sendDuplicate(request, answer, duplicateAnswerDelay);
+    else
+        Listener::send(request, answer);
+}
+
+/** Flushed before the run begins, so that it outlasts the end of this process. */
+void KeyedServer::recordRun(const Work &work)
+{
+    if (m_runFile.is_open() && !work.requestId.empty())
+        m_runFile << work.requestId << ' ' << work.request->header().path() << std::endl;
 }
 
 void KeyedServer::start(Work work)
 {
+    recordRun(work);
     work.runIndex = m_runs.size();
     m_runs.push_back(
         {work.requestId, work.key ? static_cast<std::int64_t>(*work.key) : -1, nowUs(), 0});
@@ -296,6 +326,9 @@
     case AnswerFault::Duplicate:
         m_listener->sendDuplicate(work.request, answer, duplicateAnswerDelay);
         break;
+    case AnswerFault::Deny:
+        refuse(work.request, 503, {});
+        break;
     }
 }
 
@@ -344,6 +377,8 @@
         if (const auto fault = parsedAnswerFault(name))
             m_answerFaults[*fault] = faults[name].asInt();
     }
+    m_requestsToRefuse = json["refuse"]["count"].asInt();
+    m_areRefusalsDuplicated = json["refuse"]["twice"].asBool();
     m_ordersToDelay = json["lateOrders"].asInt();
     m_orderDelay = std::chrono::milliseconds{json["lateMs"].asInt()};
     if (json.isMember("partitionedFrom"))
--- a/tests/standins/keyed/keyedserver.h
+++ b/tests/standins/keyed/keyedserver.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <fstream>
 #include <functional>
 #include <limits>
 #include <list>
@@ -43,6 +44,11 @@
      */
     std::size_t coldRequestLimit = 0;
     std::chrono::milliseconds coldTime{0};
+    /**
+     * File to which a line with the id and the path of each request is appended before it runs;
+     * empty: none.
+     */
+    std::string runFile = {};
 };
 
 /** Faults in the answers to requests that were executed. */
@@ -51,6 +57,7 @@
     Truncate,   ///< the connection closes in the middle of the body
     OmitLength, ///< the answer has no length and ends when the connection closes
     Duplicate,  ///< the same answer is sent again later, on a connection that is kept open
+    Deny,       ///< the answer states that the request did not run
 };
 
 /**
@@ -61,7 +68,8 @@
  * more. `GET /_control` lists the requests that were executed; `POST /_control` sets how many
  * answers are faulty and in which way, how many orders (grants and releases) are left unanswered
  * and executed late, which limit answers name, whether they announce that the server leaves, the
- * pause with which all requests are refused, and the callers from which the server is partitioned.
+ * pause with which all requests are refused, how many of the next requests are refused without one,
+ * and the callers from which the server is partitioned.
  *
  * Not thread safe: to be used on the event loop's thread only.
  */
@@ -116,7 +124,11 @@
     void executeDelayed(const RequestHandle &request, std::function<void()> order);
     void answerCompletedReleases();
     void acceptWork(const RequestHandle &request);
+    Answer refusal(const RequestHandle &request, int status,
+                   std::vector<HeaderField> headers) const;
     void refuse(const RequestHandle &request, int status, std::vector<HeaderField> headers) const;
+    void refuseOnDemand(const RequestHandle &request);
+    void recordRun(const Work &work);
     void start(Work work);
     void finish(std::list<Work>::iterator entry);
     bool triggersCrash(const Work &work) const;
@@ -151,6 +163,10 @@
     /** The value of Retry-After with which all requests are refused; empty if none are. */
     std::string m_backoff;
     bool m_isLeaving = false;
+    /** How many of the next requests are refused, and whether each refusal is sent twice. */
+    int m_requestsToRefuse = 0;
+    bool m_areRefusalsDuplicated = false;
+    std::ofstream m_runFile;
     std::chrono::milliseconds m_orderDelay{0};
     std::chrono::steady_clock::time_point m_startedAt = std::chrono::steady_clock::now();
     /** When the requests of the last second arrived, while the server is cold. */
--- a/tests/standins/keyed/main.cpp
+++ b/tests/standins/keyed/main.cpp
@@ -33,6 +33,8 @@
     app.add_option("--cold-ms", coldMs, "time after the start in which it bears few requests");
     app.add_option("--cold-limit", settings.coldRequestLimit,
                    "requests in one second of that time beyond which the process ends");
+    app.add_option("--run-file", settings.runFile,
+                   "file to which the id and the path of each request that runs are appended");
     CLI11_PARSE(app, argc, argv);
     terminateWithParent();
     settings.serviceTime = std::chrono::milliseconds{serviceMs};
