--- a/tests/forwardworker/test_requeststates.cpp
+++ b/tests/forwardworker/test_requeststates.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE RequestStates
 
-#include "forwardworker/rawcaller.h"
+#include "forwardworker/blockingcaller.h"
+#include "forwardworker/fulllistener.h"
 #include "forwardworker/stateserver.h"
 
 #include <boost/test/unit_test.hpp>
@@ -117,7 +118,7 @@
     std::unique_ptr<TrafficNode> denier;
     TrafficNode node{"a1", {10.0, 100.0}};
     std::shared_ptr<RoutingState> state;
-    std::optional<RawCaller> caller;
+    std::optional<BlockingCaller> caller;
     std::string requestPath;
     std::string requestBody;
     std::string unwritten;
