Review case 4: a restarted daemon grants a new life its old fences (OWNER)

Servers are cut off from the store, crash and start again under their ids, while a daemon of their zone is killed and starts again. The daemon reads the entries of the ended lives, trusts its new connections after 1.2 s, and grants the new lives the keys with the fencing tokens that the earlier lives had.

--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -309,6 +309,10 @@
     /** Ends the process with SIGKILL. */
     void kill();
     void signal(int number) const;
+    pid_t process() const
+    {
+        return m_process;
+    }
     /** \returns how the process ended, if it has. */
     std::optional<int> ended();
     const std::string &ip() const
