Grant old fencing tokens only to the run that the record names

Cause: a daemon took a new connection for one to the recorded run after a wait shorter than the life of a record. The wait was 3.5 s, reckoned from heartbeats of 0.87 s, whatever heartbeatS the platform names, and 1.2 s in the first 2 s of a daemon and after an unanswered grant, where it was assumed that a new run writes its record at once. A run behind a cut writes none. Besides, a connection that was closed without an error (the kernel closes those of a crashed process) kept its confirmed state, and a grant could open a connection and go out over it unchecked.

Change: RecordLifetime reckons how long a record can outlive its run from the setting serverHeartbeatSeconds (3 s if no setting names it), and all paths use it, the restored store's too. Every new connection is in doubt that long, by what the records of servers were confirmed to be rather than by answers about other rows. A grant is checked once more when its connection is known. Where keys would be lost during the wait, the planner raises their fencing tokens in one conditional commit, which is safe whichever run takes them.

--- a/src/libbulrush/process/entrysettings.h
+++ b/src/libbulrush/process/entrysettings.h
@@ -5,6 +5,7 @@
 #include "process/drainbudget.h"
 #include "process/endpoint.h"
 #include "process/evacuationbudget.h"
+#include "process/recordlifetime.h"
 #include "process/retrybudgets.h"
 #include "version/identifier.h"
 
@@ -38,6 +39,8 @@
     Duration drainTime = std::chrono::milliseconds{5500};
     /** Time after its announcement during which a backend server that leaves may get requests. */
     Duration serverDrain = DrainBudget::minBound;
+    /** The records of backend servers in the store. */
+    RecordLifetime serverRecords;
     /** Maximum time from the acknowledgement of a configuration until it is in force. */
     Duration configInForce = ConfigBudget::minBound;
     /** Maximum time until servers of an evacuated failure domain get no more requests. */
--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -20,7 +20,7 @@
 KeyCoordinator::KeyCoordinator(const DaemonIdentity &self, Instant start, const KeyTimings &timings)
     : m_self(self)
     , m_lease(self.incarnation, self.address, self.takeoverDelay)
-    , m_renewal(self.domain, start, timings)
+    , m_renewal(self.domain, timings)
     , m_renewers(timings)
     , m_grants(start, timings.grantCall)
     , m_recovery(timings)
@@ -97,6 +97,11 @@
         m_renewal.recordStoreAnswer(givenAt);
 }
 
+void KeyCoordinator::recordServerRecords(Instant confirmedAt)
+{
+    m_renewal.recordServerRecords(confirmedAt);
+}
+
 void KeyCoordinator::handlePlannerRowResult(RowWriteResult result, const StoreVersion &version,
                                             Instant now)
 {
@@ -149,9 +154,9 @@
     m_renewal.recordConnectionLost(server);
 }
 
-void KeyCoordinator::recordConnectionReset(const ServerName &server)
+void KeyCoordinator::recordGranted(const SendGrant &grant, Instant now)
 {
-    m_renewal.recordConnectionReset(server);
+    m_renewal.recordGranted(grant.owned.owner, now);
 }
 
 void KeyCoordinator::recordGrantResult(const SendGrant &grant, bool mayHaveArrived, Instant now)
@@ -495,7 +500,33 @@
         current.sequence = firstSequenceOf(m_appliedVersion.era, {}) - 1;
     const auto load = m_loads.find(service);
     const KeyTraffic traffic = load == m_loads.end() ? KeyTraffic{} : load->second.traffic(now);
-    return KeyPlanner::plan(current, readyServers(service, servers, now), traffic);
+    return raiseFences(current,
+                       KeyPlanner::plan(current, readyServers(service, servers, now), traffic),
+                       servers, now);
+}
+
+/**
+ * Raises the fencing tokens of ranges whose owners can't be renewed in time otherwise. \returns
+ * \a next, or an assignment to replace \a current if there is no next one, with these tokens.
+ */
+std::optional<KeyAssignment> KeyCoordinator::raiseFences(const KeyAssignment &current,
+                                                         std::optional<KeyAssignment> next,
+                                                         const ServerDirectory &servers,
+                                                         Instant now) const
+{
+    KeyAssignment raised = next ? *next : current;
+    if (!next)
+        ++raised.sequence;
+    bool hasRaised = false;
+    for (OwnedRange &owned : raised.ranges) {
+        const KnownServer *server = servers.find(owned.owner);
+        if (!server || server->removedSince
+            || !m_renewal.needsHigherFence(current.service, owned, now))
+            continue;
+        owned.fence = raised.sequence;
+        hasRaised = true;
+    }
+    return hasRaised ? std::optional{std::move(raised)} : std::move(next);
 }
 
 /** \returns the owners of keys that are to have none because they asked for pauses. */
--- a/src/libbulrush/process/keycoordinator.h
+++ b/src/libbulrush/process/keycoordinator.h
@@ -74,7 +74,7 @@
     /**
      * A newly registered server gets keys once the planner is connected to it, or after this
      * timeout. If the connection is made after the keys were committed, they cannot be granted over
-     * it for KeyTimings::recordExpiry, because another run of the server may have held them.
+     * it for RecordLifetime::maxAfterEnd(), because another run of the server may have held them.
      * Without this wait the keys of a restarted server were unavailable for 4.4 s to 4.8 s, with it
      * for less than 2.9 s.
      */
@@ -138,6 +138,9 @@
     /** Records that the store confirmed, at \a givenAt or later, that the rows are unchanged. */
     void recordStoreAnswer(Instant givenAt);
 
+    /** Records that the records of servers were as known here until \a confirmedAt. */
+    void recordServerRecords(Instant confirmedAt);
+
     /** Handles the result of a WritePlannerRow. */
     void handlePlannerRowResult(RowWriteResult result, const StoreVersion &version, Instant now);
 
@@ -153,6 +156,9 @@
     /** Records that \a grant is being sent. \pre isStillDue() of it */
     void recordGrantSent(const SendGrant &grant, Instant now);
 
+    /** Records that the server of \a grant accepted it. */
+    void recordGranted(const SendGrant &grant, Instant now);
+
     /** Records the end of the call of \a grant and whether its server may have received it. */
     void recordGrantResult(const SendGrant &grant, bool mayHaveArrived, Instant now);
 
@@ -166,12 +172,9 @@
     /** Records a new connection to \a server. */
     void recordConnection(const ServerName &server, Instant now);
 
-    /** Records that the last connection to \a server was closed, or could not be made. */
+    /** Records that there is no connection to \a server any more, or that none could be made. */
     void recordConnectionLost(const ServerName &server);
 
-    /** Records that the connection to \a server was reset because a grant got no answer. */
-    void recordConnectionReset(const ServerName &server);
-
     /** Handles the result of a WriteDaemonRow. */
     void handleDaemonRowResult(RowWriteResult result, const StoreVersion &version, Instant now);
 
@@ -271,6 +274,9 @@
     std::optional<KeyAssignment> nextAssignment(const ServiceName &service,
                                                 const ServerDirectory &servers, bool isRoundDue,
                                                 Instant now);
+    std::optional<KeyAssignment> raiseFences(const KeyAssignment &current,
+                                             std::optional<KeyAssignment> next,
+                                             const ServerDirectory &servers, Instant now) const;
     std::vector<KeyServer> readyServers(const ServiceName &service, const ServerDirectory &servers,
                                         Instant now);
     std::set<ServerName> serversBackingOff(const ServiceName &service, Instant now);
--- a/src/libbulrush/process/keyrenewal.cpp
+++ b/src/libbulrush/process/keyrenewal.cpp
@@ -5,9 +5,8 @@
 
 namespace bulrush {
 
-KeyRenewal::KeyRenewal(DomainName ownDomain, Instant start, const KeyTimings &timings)
+KeyRenewal::KeyRenewal(DomainName ownDomain, const KeyTimings &timings)
     : m_ownDomain(std::move(ownDomain))
-    , m_start(start)
     , m_timings(timings)
 { }
 
@@ -23,6 +22,11 @@
     m_lastStoreAnswer = std::max(givenAt, m_lastStoreAnswer.value_or(givenAt));
 }
 
+void KeyRenewal::recordServerRecords(Instant confirmedAt)
+{
+    m_recordsConfirmedAt = std::max(m_recordsConfirmedAt, confirmedAt);
+}
+
 bool KeyRenewal::shouldRenew(const KnownServer &server) const
 {
     return !server.removedSince && (m_isPlanner || server.record.domain == m_ownDomain);
@@ -30,31 +34,20 @@
 
 void KeyRenewal::recordConnection(const ServerName &server, Instant now)
 {
-    const bool isStarting = now - m_start < m_timings.startupPeriod;
-    const auto suspect = m_suspectDurations.find(server);
-    const Duration first = isStarting ? m_timings.recordUpdateDelay : m_timings.recordExpiry;
-    Connection connection{now, suspect == m_suspectDurations.end() ? first : suspect->second, {}};
+    Connection connection{now, {}};
     if (m_isPlanner)
         connection.sequences = sequences();
-    // An existing entry stays: a connection that only the server closed does not imply a new run.
-    m_connections.try_emplace(server, std::move(connection));
+    m_connections.insert_or_assign(server, std::move(connection));
 }
 
 void KeyRenewal::recordConnectionLost(const ServerName &server)
 {
-    dropConnection(server, m_timings.recordExpiry);
-}
-
-void KeyRenewal::recordConnectionReset(const ServerName &server)
-{
-    dropConnection(server, m_timings.recordUpdateDelay);
+    m_connections.erase(server);
 }
 
-void KeyRenewal::dropConnection(const ServerName &server, Duration suspectDuration)
+void KeyRenewal::recordGranted(const ServerName &server, Instant now)
 {
-    m_connections.erase(server);
-    Duration &longest = m_suspectDurations[server];
-    longest = std::max(longest, suspectDuration);
+    m_grantedAt[server] = now;
 }
 
 std::map<ServiceName, std::uint64_t> KeyRenewal::sequences() const
@@ -80,17 +73,36 @@
     return false;
 }
 
+bool KeyRenewal::needsHigherFence(const ServiceName &service, const OwnedRange &owned,
+                                  Instant now) const
+{
+    const auto connection = m_connections.find(owned.owner);
+    if (!m_isPlanner || owned.isMoving() || !mayRenew(now) || connection == m_connections.end()
+        || !connection->second.sequences || mayGrant(service, owned, now))
+        return false;
+    const auto granted = m_grantedAt.find(owned.owner);
+    if (granted == m_grantedAt.end())
+        return true;
+    const Instant heldUntil = granted->second + m_timings.hold;
+    return confirmationDue(connection->second) >= heldUntil
+        && now >= heldUntil - m_timings.fenceRaiseLead;
+}
+
+/** \returns the instant whose records show whether \a connection leads to the recorded run. */
+Instant KeyRenewal::confirmationDue(const Connection &connection) const
+{
+    return std::max(connection.since, m_continuousSince) + m_timings.records.maxAfterEnd();
+}
+
 /** \pre mayRenew() */
 void KeyRenewal::confirmConnections()
 {
+    const Instant confirmedAt = std::min(*m_lastStoreAnswer, m_recordsConfirmedAt);
     for (auto &[server, connection] : m_connections) {
         if (!connection.sequences && *m_lastStoreAnswer >= connection.since)
             connection.sequences = sequences();
-        const Instant from = std::max(connection.since, m_continuousSince);
-        if (connection.isConfirmed || *m_lastStoreAnswer - from < connection.suspectDuration)
-            continue;
-        connection.isConfirmed = true;
-        m_suspectDurations.erase(server);
+        if (confirmedAt >= confirmationDue(connection))
+            connection.isConfirmed = true;
     }
 }
 
@@ -120,8 +132,7 @@
     }
     m_sentAt = std::move(sentAt);
     std::erase_if(m_connections, [&](const auto &entry) { return !servers.find(entry.first); });
-    std::erase_if(m_suspectDurations,
-                  [&](const auto &entry) { return !servers.find(entry.first); });
+    std::erase_if(m_grantedAt, [&](const auto &entry) { return !servers.find(entry.first); });
     return grants;
 }
 
--- a/src/libbulrush/process/keyrenewal.h
+++ b/src/libbulrush/process/keyrenewal.h
@@ -26,8 +26,10 @@
  * A server may restart under the same name and address. The new run must not be granted ranges of
  * the earlier run under the fencing token of that run. A renewer therefore keeps a connection to
  * the server, which always leads to the same run. Over a new connection it grants only what no
- * other run can have held, until the record, which names the run, would have changed or expired if
- * the connection led to another run.
+ * other run can have held, until the record, which names the run, would have expired if the
+ * connection led to another run. The start of another run is no evidence: it may be unable to write
+ * its record. Where keys would be lost meanwhile, the planner raises their fencing tokens, which is
+ * safe whichever run the connection leads to.
  *
  * Not thread safe. Instants never decrease and come from a clock that keeps running while the host
  * is suspended.
@@ -35,8 +37,7 @@
 class KeyRenewal
 {
 public:
-    /** \a start is the start of this run of the daemon. */
-    KeyRenewal(DomainName ownDomain, Instant start, const KeyTimings &timings);
+    KeyRenewal(DomainName ownDomain, const KeyTimings &timings);
 
     /** Applies an assignment in force. */
     void setAssignment(const KeyAssignment &assignment);
@@ -44,6 +45,9 @@
     /** Records that the store confirmed, at \a givenAt or later, that assignments are unchanged. */
     void recordStoreAnswer(Instant givenAt);
 
+    /** Records that the records of servers were as known here until \a confirmedAt. */
+    void recordServerRecords(Instant confirmedAt);
+
     /** Sets whether this daemon is the planner, which renews the servers of all domains. */
     void setPlanner(bool isPlanner);
 
@@ -55,14 +59,18 @@
     /** \returns whether there is a connection to \a server. */
     bool isConnected(const ServerName &server) const;
 
-    /** Records a new connection to \a server. */
+    /**
+     * Records a new connection to \a server, which may lead to another run than the one before,
+     * even if that was closed without an error: the system closes the connections of a crashed
+     * process.
+     */
     void recordConnection(const ServerName &server, Instant now);
 
-    /** Records that the last connection to \a server was closed, or could not be made. */
+    /** Records that there is no connection to \a server any more, or that none could be made. */
     void recordConnectionLost(const ServerName &server);
 
-    /** Records that the connection to \a server was reset because a grant got no answer. */
-    void recordConnectionReset(const ServerName &server);
+    /** Records that \a server accepted a grant. */
+    void recordGranted(const ServerName &server, Instant now);
 
     /** \returns the grants that are due; each counts as sent. */
     std::vector<SendGrant> due(const ServerDirectory &servers, Instant now);
@@ -70,6 +78,13 @@
     /** \returns whether \a owned of \a service may be granted to its owner at \a now. */
     bool mayGrant(const ServiceName &service, const OwnedRange &owned, Instant now) const;
 
+    /**
+     * \returns whether the planner has to raise the fencing token of \a owned, as the owner may
+     * otherwise lose the range before it is known whether the connection leads to its run. False
+     * unless this daemon is the planner.
+     */
+    bool needsHigherFence(const ServiceName &service, const OwnedRange &owned, Instant now) const;
+
     /** \returns whether grants may be sent at \a now. */
     bool mayRenew(Instant now) const;
 
@@ -92,8 +107,6 @@
     struct Connection
     {
         Instant since;
-        /** For this long the run may be a different one than the record names. */
-        Duration suspectDuration{};
         /**
          * Sequences of the assignments in force when the connection was made: no other run can have
          * been granted a later fencing token. Empty until the store has answered after that, as a
@@ -107,17 +120,18 @@
     bool isRenewalDue(Instant sentAt, Instant now) const;
     std::map<ServiceName, std::uint64_t> sequences() const;
     void confirmConnections();
-    void dropConnection(const ServerName &server, Duration suspectDuration);
+    Instant confirmationDue(const Connection &connection) const;
 
     DomainName m_ownDomain;
-    Instant m_start;
     KeyTimings m_timings;
     std::map<ServiceName, KeyAssignment> m_assignments;
     std::map<GrantKey, Instant> m_sentAt;
     std::map<ServerName, Connection> m_connections;
-    /** For servers that lost a connection: how long the next one is suspect. */
-    std::map<ServerName, Duration> m_suspectDurations;
+    /** When each server last accepted a grant. */
+    std::map<ServerName, Instant> m_grantedAt;
     std::optional<Instant> m_lastStoreAnswer;
+    /** Until then the records of servers were as known here. */
+    Instant m_recordsConfirmedAt;
     /** Since when the gaps between answers of the store have been at most maxStoreAnswerGap. */
     Instant m_continuousSince;
     bool m_isPlanner = false;
--- a/src/libbulrush/process/keytimings.h
+++ b/src/libbulrush/process/keytimings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/clock.h"
+#include "process/recordlifetime.h"
 
 namespace bulrush {
 
@@ -23,29 +24,23 @@
     Duration renewalValidity = std::chrono::milliseconds{3500};
     /** A server's clock may run slower than the daemon's by this many parts per million. */
     std::int64_t slowClockPpm = 20'000;
-    /** A feed of the store may miss changes for a second before it is disconnected. */
-    Duration maxFeedLag = std::chrono::milliseconds{1000};
+    /** A feed of the store may miss changes for this long before it is disconnected. */
+    Duration maxFeedLag = RecordLifetime::maxFeedLag;
     /**
      * Timeout of the call of a grant. Its connection is then reset, so that no part of the call
      * reaches the server later. Servers answer within milliseconds; a lost packet costs 200 ms.
      */
     Duration grantCall = std::chrono::milliseconds{500};
     /**
-     * If the store has shown the same record of a server for this long after a connection to it was
-     * made, the connection leads to the recorded run. The record of a stopped run expires after
-     * three heartbeats, 2.6 s, and that becomes visible within 0.9 s.
+     * If the store has shown the record of a server for RecordLifetime::maxAfterEnd() after a
+     * connection to it was made, the connection leads to the recorded run.
      */
-    Duration recordExpiry = std::chrono::milliseconds{3500};
+    RecordLifetime records;
     /**
-     * The same for a daemon that has just started, where the longer wait would extend the time in
-     * which keys that no daemon renewed are unavailable. A run that reaches the store writes its
-     * record when it starts, which becomes visible within 0.9 s, and feeds pause for 0.3 s.
+     * The planner raises the fencing tokens of a server that nobody may renew this long before the
+     * server loses its keys. It spans a planning round, a commit and the round that grants.
      */
-    Duration recordUpdateDelay = std::chrono::milliseconds{1200};
-    /**
-     * A daemon counts as just started for this long, while it discovers and connects to servers.
-     */
-    Duration startupPeriod = std::chrono::milliseconds{2000};
+    Duration fenceRaiseLead = std::chrono::milliseconds{1500};
     /** A grant that is already on the link may arrive this long after the end of its call. */
     Duration maxTransit = std::chrono::milliseconds{250};
 
--- a/src/libbulrush/process/serverdirectory.cpp
+++ b/src/libbulrush/process/serverdirectory.cpp
@@ -5,6 +5,10 @@
 
 namespace bulrush {
 
+ServerDirectory::ServerDirectory(const RecordLifetime &records)
+    : m_records(records)
+{ }
+
 void ServerDirectory::applyAll(std::span<const ServerRecord> records, bool isAfterOutage,
                                Instant now, Instant unchangedUntil)
 {
@@ -196,7 +200,7 @@
 {
     bool hasChanged = false;
     for (auto &[id, server] : m_servers) {
-        if (server.restoredSince && now - *server.restoredSince >= restoredRecordExpiry
+        if (server.restoredSince && now - *server.restoredSince >= m_records.maxAfterEnd()
             && !server.hasStopped && !server.laterRun) {
             server.removedSince.reset();
             server.restoredSince.reset();
--- a/src/libbulrush/process/serverdirectory.h
+++ b/src/libbulrush/process/serverdirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/recordlifetime.h"
 #include "process/serverrecord.h"
 #include "version/routingconfig.h"
 
@@ -81,11 +82,11 @@
     static constexpr Duration reappearanceTimeout = std::chrono::milliseconds{2200};
     /** Servers without a record are retained for this long, so that their keys can be released. */
     static constexpr Duration removedRetention = std::chrono::seconds{30};
-    /**
-     * The record of a server that has stopped lasts for at most this long in a restored store:
-     * three heartbeats, 2.6 s, and the store's delay.
-     */
-    static constexpr Duration restoredRecordExpiry = std::chrono::milliseconds{3500};
+
+    ServerDirectory() = default;
+
+    /** \a records decides how long the record of an ended run may stay in a restored store. */
+    explicit ServerDirectory(const RecordLifetime &records);
 
     /**
      * Applies the complete set of records. \a isAfterOutage means that the store was unavailable,
@@ -168,6 +169,7 @@
     ColdStart coldStartOf(const ServiceName &service) const;
     void extendColdTime(KnownServer &server) const;
 
+    RecordLifetime m_records;
     std::map<ServerName, KnownServer> m_servers;
     std::map<ServiceName, ColdStart> m_coldStarts;
     std::map<DomainName, Evacuation> m_evacuations;
--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -45,6 +45,13 @@
     return plannerTakeoverDelay(XXH3_64bits(name.data(), name.size()), settings.processors);
 }
 
+KeyTimings keyTimingsOf(const EntrySettings &settings)
+{
+    KeyTimings timings;
+    timings.records = settings.serverRecords;
+    return timings;
+}
+
 } // namespace
 
 EntryDaemon::EntryDaemon(EntrySettings settings)
@@ -57,14 +64,16 @@
     , m_plan(m_settings.host, m_settings.domain, io::hostNow())
     , m_state(
           followerDependencies(), m_settings.host,
-          {DrainBudget{m_settings.serverDrain}, ConfigBudget{m_settings.configInForce}},
+          {DrainBudget{m_settings.serverDrain}, ConfigBudget{m_settings.configInForce},
+           m_settings.serverRecords},
           [this](std::shared_ptr<const RoutingState> state) {
               m_worker.setState(std::move(state));
           },
           [this](const RoutingDataFreshness &freshness) { m_worker.setFreshness(freshness); })
     , m_keys({followerDependencies(), m_client, m_state},
              {m_settings.host, newIncarnation(m_settings.host), m_settings.domain, m_settings.peers,
-              plannerDelayOf(m_settings), m_settings.processors, m_settings.relays})
+              plannerDelayOf(m_settings), m_settings.processors, m_settings.relays},
+             keyTimingsOf(m_settings))
     , m_permits(m_client, m_settings.host)
     , m_crashes(followerDependencies(), m_settings.host,
                 [this](std::shared_ptr<const Quarantine> quarantine) {
--- a/src/libbulrushentry/keycontrol.cpp
+++ b/src/libbulrushentry/keycontrol.cpp
@@ -110,10 +110,10 @@
 
 } // namespace
 
-KeyControl::KeyControl(Dependencies deps, const DaemonIdentity &self)
+KeyControl::KeyControl(Dependencies deps, const DaemonIdentity &self, const KeyTimings &timings)
     : m_deps(deps)
     , m_host(self.host)
-    , m_coordinator(self, io::hostNow())
+    , m_coordinator(self, io::hostNow(), timings)
     , m_ownership(deps.follow, std::string{platform::ownershipTable}, ownershipTimings)
 { }
 
@@ -254,6 +254,7 @@
         m_connectCheckedAt = now;
         connectServers();
     }
+    m_coordinator.recordServerRecords(m_deps.state.serversConfirmedAt());
     const std::vector<KeyAction> actions =
         m_coordinator.advance(m_deps.state.directory(), keyedServices(m_deps.state), now);
     logPlannerChange();
@@ -403,6 +404,10 @@
     io::ServerCall call = platform::grantCall(address, grant.owned, KeyTimings{}.hold);
     call.timeout = KeyTimings{}.grantCall;
     call.acknowledgeTimeout = KeyTimings{}.grantCall;
+    // The call may have to use a new connection, which may lead to another run of the server.
+    call.confirmSend = [this, grant] {
+        return m_coordinator.isStillDue(grant, m_deps.state.directory(), io::hostNow());
+    };
     m_coordinator.recordGrantSent(grant, now);
     m_deps.servers.send(std::move(call), [this, grant](const io::HttpResult &result) {
         handleGrantResult(grant, result);
@@ -416,11 +421,12 @@
     const bool isReplaced = answer == platform::GrantAnswer::Replaced;
     const bool wasReached = result.stage != io::TransferStage::NotConnected && !isReplaced;
     m_coordinator.recordGrantResult(grant, wasReached, io::hostNow());
-    // This must precede the next grant to the server, which uses a new connection.
-    if (result.error == io::TransportError::TimedOut)
-        m_coordinator.recordConnectionReset(grant.owned.owner);
-    else if (result.error)
+    // This must precede the next grant to the server, which uses a new connection. A withdrawn
+    // call leaves its connection open.
+    if (result.error && result.error != io::TransportError::CallWithdrawn)
         m_coordinator.recordConnectionLost(grant.owned.owner);
+    if (answer == platform::GrantAnswer::Granted)
+        m_coordinator.recordGranted(grant, io::hostNow());
     logGrant(grant, answer);
     // The server's record expires later; its keys can be reassigned before that.
     if (isReplaced)
--- a/src/libbulrushentry/keycontrol.h
+++ b/src/libbulrushentry/keycontrol.h
@@ -32,7 +32,7 @@
         StatePublisher &state;
     };
 
-    KeyControl(Dependencies deps, const DaemonIdentity &self);
+    KeyControl(Dependencies deps, const DaemonIdentity &self, const KeyTimings &timings);
 
     KeyControl(const KeyControl &) = delete;
     KeyControl &operator=(const KeyControl &) = delete;
--- a/src/libbulrushentry/statepublisher.cpp
+++ b/src/libbulrushentry/statepublisher.cpp
@@ -57,6 +57,7 @@
     , m_freshnessHandler(std::move(freshnessHandler))
     , m_configs(deps, std::string{platform::operatorTable}, configTimings(budgets.configs))
     , m_servers(deps, std::string{platform::serverTable}, serverTimings(budgets.servers))
+    , m_directory(budgets.records)
     , m_self(std::move(self))
 { }
 
@@ -67,6 +68,11 @@
     return table == m_servers.table() ? &m_servers : nullptr;
 }
 
+Instant StatePublisher::serversConfirmedAt() const
+{
+    return m_servers.confirmedAt();
+}
+
 void StatePublisher::setServersHandler(std::function<void()> handler)
 {
     m_serversHandler = std::move(handler);
--- a/src/libbulrushentry/statepublisher.h
+++ b/src/libbulrushentry/statepublisher.h
@@ -42,6 +42,7 @@
     {
         DrainBudget servers;
         ConfigBudget configs;
+        RecordLifetime records;
     };
 
     /** \a self is the host of this daemon. */
@@ -51,6 +52,9 @@
     /** Sets the handler that is called after each change of servers. */
     void setServersHandler(std::function<void()> handler);
 
+    /** \returns until when the records of servers were as in directory(). */
+    Instant serversConfirmedAt() const;
+
     /** Starts to follow configurations and servers. */
     void start();
 
--- a/src/libbulrushio/process/entrysettingsreader.cpp
+++ b/src/libbulrushio/process/entrysettingsreader.cpp
@@ -40,9 +40,9 @@
 }
 
 /** Reads a duration in decimal seconds, the format of the platform's bounds. */
-void readDecimalSeconds(YamlFields &fields, std::string_view name, Duration &span)
+void readDecimalSeconds(YamlFields &fields, std::string_view name, Duration &span,
+                        double minSeconds = 0.5)
 {
-    constexpr double minSeconds = 0.5;
     constexpr double maxSeconds = 3600.0;
     std::chrono::duration<double> seconds = span;
     double value = seconds.count();
@@ -89,6 +89,9 @@
     readAddresses(fields, settings);
     readShutdown(fields, settings);
     readDecimalSeconds(fields, "serverDrainSeconds", settings.serverDrain);
+    constexpr double minHeartbeatSeconds = 0.01;
+    readDecimalSeconds(fields, "serverHeartbeatSeconds", settings.serverRecords.heartbeat,
+                       minHeartbeatSeconds);
     readDecimalSeconds(fields, "configInForceSeconds", settings.configInForce);
     readDecimalSeconds(fields, "evacuationSeconds", settings.evacuation);
     readCallerLimits(fields, settings.limits);
--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -126,6 +126,12 @@
 }
 
 void EntryFleet::startServer(const ServerSpec &server)
+{
+    startServerProcess(server);
+    writeRecord(server.id, "ready");
+}
+
+void EntryFleet::startServerProcess(const ServerSpec &server)
 {
     std::vector<std::string> arguments{
         "--id",         server.id,
@@ -146,7 +152,6 @@
                           std::to_string(server.coldLimit)});
     m_serverSpecs[server.id] = server;
     m_servers[server.id] = std::make_unique<ChildProcess>(binaryPath("keyed-standin"), arguments);
-    writeRecord(server.id, "ready");
 }
 
 void EntryFleet::startDaemon(const std::string &host)
@@ -287,13 +292,19 @@
 }
 
 void EntryFleet::restartServer(const std::string &id)
+{
+    restartServerBehindCut(id);
+    writeRecord(id, "ready");
+}
+
+void EntryFleet::restartServerBehindCut(const std::string &id)
 {
     ServerSpec next = m_serverSpecs.at(id);
     next.address = server(id).address();
     ++next.startedAtMs;
     m_servers.at(id)->kill();
     m_servers.erase(id);
-    startServer(next);
+    startServerProcess(next);
 }
 
 void EntryFleet::writeConfig(const std::vector<std::string> &additionalPrefixes)
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -111,6 +111,8 @@
 
     /** Kills the server and restarts it with the same id and address, without its keys. */
     void restartServer(const std::string &id);
+    /** The same, but it does not reach the store: the record of its previous run stays. */
+    void restartServerBehindCut(const std::string &id);
 
     /** Writes the configuration as a new version, with an additional route for each prefix. */
     void writeConfig(const std::vector<std::string> &additionalPrefixes = {});
@@ -267,6 +269,7 @@
     static bool eventually(const std::function<bool()> &condition);
 
 private:
+    void startServerProcess(const ServerSpec &server);
     std::string addressOf(const std::string &host) const;
     void removeRow(const std::string &table, const std::string &key);
     Json::Value control(const Json::Value &json);
--- a/tests/entrysettings/test_entrysettings.cpp
+++ b/tests/entrysettings/test_entrysettings.cpp
@@ -92,6 +92,9 @@
         {"{{bounds.graceS}}", "10"},
         {"{{#bounds.graceS}}\n", ""},
         {"{{/bounds.graceS}}\n", ""},
+        {"{{heartbeatS}}", "1.5"},
+        {"{{#heartbeatS}}\n", ""},
+        {"{{/heartbeatS}}\n", ""},
         {"{{bounds.budgetSlack}}", "64"},
         {"{{bounds.retryBudgetRatio}}", "0.25"},
         {"{{#bounds.budgetSlack}}\n", ""},
@@ -134,6 +137,7 @@
     BOOST_TEST(reading.settings.processors == 0.1);
     BOOST_TEST(reading.settings.linkMegabits == 20.0);
     BOOST_TEST((reading.settings.serverDrain == 2500ms));
+    BOOST_TEST((reading.settings.serverRecords.heartbeat == 1500ms));
     BOOST_TEST((reading.settings.configInForce == 3s));
     BOOST_TEST((reading.settings.evacuation == 4500ms));
     BOOST_TEST((reading.settings.drainTime == 9500ms));
@@ -146,14 +150,19 @@
     BOOST_TEST((settings.serverDrain == 2s));
     BOOST_TEST((settings.configInForce == 2s));
     BOOST_TEST((settings.evacuation == 5s));
+    BOOST_TEST((settings.serverRecords.heartbeat == 3s));
     BOOST_TEST((settings.drainTime == 5500ms));
-    for (const std::string field : {"configInForceSeconds", "evacuationSeconds",
-                                    "serverDrainSeconds", "shutdownGraceSeconds"}) {
+    for (const std::string field :
+         {"configInForceSeconds", "evacuationSeconds", "serverDrainSeconds",
+          "serverHeartbeatSeconds", "shutdownGraceSeconds"}) {
         for (const std::string wrong : {"2s", "0", "-1", "soon", ""}) {
             const std::string problem = problemsOf(validSettings + field + ": " + wrong + "\n");
             BOOST_TEST(problem.find(field) != std::string::npos, wrong << ": " << problem);
         }
     }
+    const SettingsFile heartbeat{validSettings + "serverHeartbeatSeconds: 0.87\n"};
+    const EntrySettings read = io::readEntrySettings(heartbeat.path()).settings;
+    BOOST_TEST((read.serverRecords.heartbeat == 870ms));
     // An explicit drain time takes precedence over the grace period.
     const SettingsFile both{validSettings + "shutdownGraceSeconds: 20\ndrainTime: 4s\n"};
     BOOST_TEST((io::readEntrySettings(both.path()).settings.drainTime == 4s));
--- a/tests/keyworld/keysimulation.cpp
+++ b/tests/keyworld/keysimulation.cpp
@@ -513,12 +513,14 @@
               runAtDaemon(index, incarnation, [this, index, action, mayHaveArrived, isAnswered] {
                   KeyCoordinator &coordinator = *m_daemons[index]->coordinator;
                   coordinator.recordGrantResult(action, mayHaveArrived, m_now);
+                  if (isAnswered)
+                      coordinator.recordGranted(action, m_now);
                   // The call timed out and its connection is reset; the next connection attempt
                   // shows whether the server is up.
                   if (isAnswered || m_planted == PlantedFault::RenewsOtherRun)
                       return;
                   m_daemons[index]->connectedRuns.erase(action.owned.owner);
-                  coordinator.recordConnectionReset(action.owned.owner);
+                  coordinator.recordConnectionLost(action.owned.owner);
               });
           });
     if (!arrives)
@@ -716,6 +718,7 @@
         // The stalled feed has missed the changes, and reports that there were none.
         after(transitTime, [=, this] {
             runAtDaemon(index, incarnation, [=, this] {
+                m_daemons[index]->coordinator->recordServerRecords(givenAt);
                 m_daemons[index]->coordinator->recordStoreAnswer(givenAt);
                 followRows(index, incarnation, m_now);
             });
@@ -744,6 +747,7 @@
                     target.coordinator->applyDaemonRow(hostOf(i), version, std::nullopt, m_now);
             }
             target.coordinator->markRowsApplied(version, m_now);
+            target.coordinator->recordServerRecords(givenAt);
             target.coordinator->recordStoreAnswer(givenAt);
             target.appliedVersion = version;
             followRows(index, incarnation, m_now);
--- a/tests/routing/test_serverdirectory.cpp
+++ b/tests/routing/test_serverdirectory.cpp
@@ -249,9 +249,9 @@
     directory.applyRestored(copy, start + 2s, start + 1s);
     directory.applyRecord(numbered(record("two"), 5), start + 2500ms, start + 2400ms);
     BOOST_TEST(isReady(directory, "two"));
-    directory.advance(start + 2s + ServerDirectory::restoredRecordExpiry - 1ms);
+    directory.advance(start + 2s + RecordLifetime{}.maxAfterEnd() - 1ms);
     BOOST_TEST(!isReady(directory, "one"));
-    BOOST_TEST(directory.advance(start + 2s + ServerDirectory::restoredRecordExpiry));
+    BOOST_TEST(directory.advance(start + 2s + RecordLifetime{}.maxAfterEnd()));
     BOOST_TEST(isReady(directory, "one"));
 }
 
