Pass nothing on that a shutdown would cut

Cause: from 2.7 s after SIGTERM on a daemon refused requests whose head arrived, but those that had begun went on as in calm: an upload whose body arrived later, and requests that waited for a server or another attempt, were passed on until the end.

Change: once a daemon refuses, it passes nothing on any more. What waits is refused at once, as not run where that can be proved, so that its caller can go elsewhere. What is at work at the end of the drain time gets an answer of unknown outcome in place of a cut connection. Where the grace is short, refusing begins at half of the drain time.

--- a/src/libbulrushentry/entrydaemon.cpp
+++ b/src/libbulrushentry/entrydaemon.cpp
@@ -8,6 +8,7 @@
 #include <asio/post.hpp>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <random>
@@ -30,6 +31,8 @@
  * once.
  */
 constexpr Duration balancerNoticePeriod = std::chrono::milliseconds{2700};
+/** After the drain time, to write the answers to requests that are still open. */
+constexpr Duration lastAnswerPeriod = std::chrono::milliseconds{200};
 /** After new requests are refused, for callers that were sending a request at that moment. */
 constexpr Duration closeGracePeriod = std::chrono::milliseconds{300};
 
@@ -219,10 +222,16 @@
 {
     const Duration passed = io::hostNow() - *m_drainingSince;
     if (passed > m_settings.drainTime) {
-        finish(m_worker.openCount() == 0 ? EntryResult::Drained : EntryResult::CutOff);
+        if (!std::exchange(m_isAnsweringOpen, true)) {
+            m_isCutOff = m_worker.openCount() > 0;
+            m_worker.answerOpen();
+        }
+        if (passed > m_settings.drainTime + lastAnswerPeriod || m_worker.connectionCount() == 0)
+            finish(m_isCutOff ? EntryResult::CutOff : EntryResult::Drained);
         return;
     }
-    if (passed < balancerNoticePeriod)
+    // What is passed on later could hardly be answered before the end of the grace period.
+    if (passed < std::min(balancerNoticePeriod, m_settings.drainTime / 2))
         return;
     if (!std::exchange(m_isRefusing, true))
         m_worker.refuseNew();
--- a/src/libbulrushentry/entrydaemon.h
+++ b/src/libbulrushentry/entrydaemon.h
@@ -88,6 +88,9 @@
     asio::signal_set m_signals;
     std::optional<Instant> m_drainingSince;
     bool m_isRefusing = false;
+    bool m_isAnsweringOpen = false;
+    /** Requests were still open at the end of the drain time. */
+    bool m_isCutOff = false;
     /** The planner's last answer had shares by priority. */
     bool m_hasSharesByPriority = false;
     EntryResult m_result = EntryResult::Drained;
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -241,6 +241,10 @@
 
 void ForwardExchange::enqueue(Instant notBefore)
 {
+    if (m_context.isRefusing) {
+        refuse(refusal::shuttingDown);
+        return;
+    }
     if (refuseIfQuarantined())
         return;
     m_context.queue.add(waitingRequest(notBefore));
@@ -788,6 +792,12 @@
     finishUnknown(UnknownStatus::GatewayTimeout, reason);
 }
 
+void ForwardExchange::refuseUnlessPassedOn()
+{
+    if (!m_call && !m_relay)
+        refuse(refusal::shuttingDown);
+}
+
 void ForwardExchange::finishNotRun(const NotRunProof &proof, std::string_view reason,
                                    RetryAdvice advice)
 {
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -62,6 +62,12 @@
     /** Refuses the request: as not run if that can be proved, otherwise with an unknown outcome. */
     void refuse(std::string_view reason, RetryAdvice advice = RetryAdvice::Later);
 
+    /**
+     * Refuses the request because the daemon shuts down, unless it was passed on and is still being
+     * worked on.
+     */
+    void refuseUnlessPassedOn();
+
     /** Logs the request, which gets no answer as the traffic thread has stopped. */
     void logUnfinished() const;
 
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -3,9 +3,11 @@
 #include "connection/httpstatus.h"
 #include "forwardexchange.h"
 #include "process/hostclock.h"
+#include "refusal.h"
 
 #include <asio/post.hpp>
 
+#include <map>
 #include <utility>
 
 namespace bulrush {
@@ -142,10 +144,20 @@
     asio::post(m_loop, [this] {
         m_context.isRefusing = true;
         m_callers->stopListening();
+        for (const auto &[ticket, exchange] : std::map{m_context.openRequests})
+            exchange->refuseUnlessPassedOn();
         m_callers->closeIdle();
     });
 }
 
+void ForwardWorker::answerOpen()
+{
+    asio::post(m_loop, [this] {
+        for (const auto &[ticket, exchange] : std::map{m_context.openRequests})
+            exchange->refuse(refusal::shuttingDown);
+    });
+}
+
 void ForwardWorker::collectLoads(LoadHandler handler)
 {
     asio::post(m_loop, [this, handler = std::move(handler)] { handler(collectSamples()); });
--- a/src/libbulrushentry/forwardworker.h
+++ b/src/libbulrushentry/forwardworker.h
@@ -81,11 +81,14 @@
     void drain();
 
     /**
-     * Accepts no further connections, and refuses requests that still arrive as not run. Thread
-     * safe.
+     * Accepts no further connections, and passes no further request on: refuses those that still
+     * arrive, and those that wait for the rest of their body or for a server. Thread safe.
      */
     void refuseNew();
 
+    /** Answers the requests that are still open, with an unknown outcome if needed. Thread safe. */
+    void answerOpen();
+
     /** Passes the loads since the last call to \a handler, on the traffic thread. Thread safe. */
     void collectLoads(LoadHandler handler);
 
--- a/tests/entryfleet/entryfleet.cpp
+++ b/tests/entryfleet/entryfleet.cpp
@@ -350,9 +350,11 @@
 }
 
 void EntryFleet::addRoute(const std::string &prefix, const std::string &kind,
-                          const std::string &service)
+                          const std::string &service, std::chrono::seconds timeout)
 {
-    m_additionalRoutes.push_back(route(prefix, kind, service));
+    Json::Value additional = route(prefix, kind, service);
+    additional["timeoutS"] = static_cast<double>(timeout.count());
+    m_additionalRoutes.push_back(additional);
     if (kind != "safe")
         m_runOncePrefixes.push_back(prefix);
 }
--- a/tests/entryfleet/entryfleet.h
+++ b/tests/entryfleet/entryfleet.h
@@ -124,7 +124,8 @@
     void splitTraffic(const std::map<std::string, int> &weights);
 
     /** Adds the route \a prefix of \a kind to all configurations written from now on. */
-    void addRoute(const std::string &prefix, const std::string &kind, const std::string &service);
+    void addRoute(const std::string &prefix, const std::string &kind, const std::string &service,
+                  std::chrono::seconds timeout = std::chrono::seconds{3});
 
     /**
      * Adds to all configurations written from now on that servers bear \a rate requests a second
--- a/tests/entryfleet/test_entryshutdown.cpp
+++ b/tests/entryfleet/test_entryshutdown.cpp
@@ -39,11 +39,12 @@
 
     /** Sends a payment on its own thread, with its own client. */
     std::future<SyncHttpResult> payInBackground(const std::string &host, const std::string &id,
-                                                int deadlineMs = 4000)
+                                                int deadlineMs = 4000,
+                                                const std::string &path = "/pay/x")
     {
         SyncHttpRequest request;
         request.method = "POST";
-        request.url = callersAddress(host) + "/pay/x";
+        request.url = callersAddress(host) + path;
         request.body = "euro=120";
         request.headers = {{"Host", "shop.example"},
                            {"X-Bulrushswitch-Request-Id", id},
@@ -233,3 +234,51 @@
     BOOST_TEST(served >= 5);
     BOOST_TEST(repeatedRuns().empty());
 }
+
+// A request that was read late in the grace was passed on, and cut at its end without an answer.
+BOOST_FIXTURE_TEST_CASE(uploadThatEndsLateInTheGraceIsRefusedNotCutOff, SlowFleet)
+{
+    addRoute("/archive/", "upload", "payments", 20s);
+    writeConfig();
+    BOOST_REQUIRE(eventually([&] { return send("a1", "POST", "/archive/x").status == 200; }));
+    const std::string body(4 << 20, 'u');
+    ::kill(daemon("a1").pid(), SIGTERM);
+    std::this_thread::sleep_for(500ms);
+    RawConnection caller{callersAddress("a1")};
+    caller.send("POST /archive/x HTTP/1.1\r\nHost: shop.example\r\n"
+                "X-Bulrushswitch-Request-Id: late\r\nX-Bulrushswitch-Deadline-Ms: 15000\r\n"
+                "Content-Length: "
+                + std::to_string(body.size()) + "\r\n\r\n");
+    caller.send(std::string_view{body}.substr(0, body.size() / 2));
+    // What its server would need ends after the daemon.
+    std::this_thread::sleep_for(3900ms);
+    caller.send(std::string_view{body}.substr(body.size() / 2));
+    const std::string answer = caller.receiveUntilClosed();
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"), answer);
+    BOOST_TEST(daemon("a1").terminate().code.value_or(-1) == 0);
+    for (const RequestRun &run : runs())
+        BOOST_TEST(run.request != "late");
+}
+
+// Requests that waited for a server until the end of the grace were cut without an answer.
+BOOST_FIXTURE_TEST_CASE(requestsThatWaitInTheGraceAreAnswered, SlowFleet)
+{
+    addRoute("/ledger/", "unsafe", "payments", 20s);
+    writeConfig();
+    BOOST_REQUIRE(eventually([&] { return send("a1", "POST", "/ledger/x").status == 200; }));
+    ::kill(daemon("a1").pid(), SIGTERM);
+    std::this_thread::sleep_for(1s);
+    // With six slots, the last of them would run for longer than the daemon does.
+    std::vector<std::future<SyncHttpResult>> orders;
+    for (int i = 0; i < 60; ++i)
+        orders.push_back(payInBackground("a1", "order" + std::to_string(i), 15'000, "/ledger/x"));
+    int served = 0;
+    for (std::size_t i = 0; i < orders.size(); ++i) {
+        const SyncHttpResult result = orders[i].get();
+        const bool isAnswered =
+            result.status == 200 || result.status == 503 || result.status == 504;
+        BOOST_TEST(isAnswered, "order " << i << " got " << result.status);
+        served += result.status == 200 ? 1 : 0;
+    }
+    BOOST_TEST(served >= 6);
+}
