Test records of servers with one odd field

Operators of another system saw daemons end, or stop following, by one odd record: deeply nested, with a number too large, or with a port out of range. The new case writes 14 such records, valid but for one field, and has a daemon start among them and a store come back beside them: all daemons live, and follow the other records.

It holds on this code without a change: values are decoded one by one, the parser's exceptions are caught, and a record that can't be decoded names no server.

--- a/tests/entryfleet/test_entryservers.cpp
+++ b/tests/entryfleet/test_entryservers.cpp
@@ -7,8 +7,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 using namespace bulrush::test;
@@ -58,6 +60,66 @@
     BOOST_TEST(firstOverlap() == "");
 }
 
+// Another writer's record, valid but for one field, ended the daemons that read it, or stopped them
+// from following the others.
+BOOST_FIXTURE_TEST_CASE(recordsWithOneOddFieldEndNoDaemon, ServingFleet)
+{
+    const std::string digits(400, '9');
+    const std::string nested = std::string(900, '[') + std::string(900, ']');
+    const std::string deeper = std::string(30'000, '[') + std::string(30'000, ']');
+    const std::vector<std::pair<std::string, std::string>> oddFields = {
+        {"version", nested},
+        {"zone", deeper},
+        {"seq", digits},
+        {"seq", "1e400"},
+        {"seq", "-1"},
+        {"slots", "18446744073709551615"},
+        {"slots", "1e300"},
+        {"coldRemainingS", "1e308"},
+        {"coldRemainingS", "-" + digits},
+        {"born", "1e20"},
+        {"born", "18446744073709551616"},
+        {"address", "\"127.0.0.1:70000\""},
+        {"address", "\"127.0.0.1:-1\""},
+        {"address", "\"127.0.0.1:99999999999999999999\""}};
+    int number = 0;
+    const auto writeOddRecords = [&] {
+        for (const auto &[name, value] : oddFields) {
+            std::map<std::string, std::string> fields{{"service", "\"catalogue\""},
+                                                      {"address", "\"127.0.0.1:9\""},
+                                                      {"zone", "\"a\""},
+                                                      {"version", "\"v1\""},
+                                                      {"slots", "3"},
+                                                      {"state", "\"ready\""},
+                                                      {"coldRemainingS", "0"},
+                                                      {"seq", "1"}};
+            fields[name] = value;
+            std::string text;
+            for (const auto &[field, content] : fields)
+                text += (text.empty() ? "{\"" : ",\"") + field + "\":" + content;
+            writeRawRecord("odd" + std::to_string(++number), text + '}');
+        }
+    };
+    writeOddRecords();
+    BOOST_TEST(countFailedReadsFor(1s, "a1") == 0);
+    // A daemon that reads them all at once, and beside a store that comes back.
+    daemon("a2").kill();
+    startDaemon("a2");
+    BOOST_TEST(eventually([&] { return servesKeys("a2"); }));
+    setStoreFault("*", "busy");
+    std::this_thread::sleep_for(1s);
+    setStoreFault("*", "ok");
+    writeOddRecords();
+    // All daemons still follow the records of servers.
+    restartServer("p1");
+    removeRecord("p2");
+    for (const std::string host : {"a1", "a2", "b1"}) {
+        BOOST_TEST(daemon(host).isRunning());
+        BOOST_TEST(eventually(
+            [&] { return servesKeys(host) && send(host, "GET", "/pay/x").status == 200; }));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(serverWhoseRecordChangesAndIsRemovedAtOnceGetsNothing, ServingFleet)
 {
     rewriteAndRemoveRecord("p1");
