Count what requests and answers hold against the host's memory

What callers saw: a daemon whose callers send many large bodies at once, whole or short of their end, or read long answers slowly, held all of it. On a host of 120 MB to 512 MB such a crowd ends the process.

Cause: each body and answer had a limit of its own (128 MiB, 1 MiB where it is buffered, 32 MiB), and nothing limited their sum over up to 1,024 connections. A buffered body was held twice, and the allocator kept the memory of freed ones.

Change: MemoryAccount counts the bytes of requests and answers against a limit that follows from the memory of the host (memoryMegabytes, 120 if not given). A declared length gets all of its room before its first byte is read, or the request is refused then with 503: nothing of it was passed on. Metrics, a log line and /status show it. A buffered body is moved, an answer copied once less, and freed bodies are given back.

--- a/src/bulrushswitchd/main.cpp
+++ b/src/bulrushswitchd/main.cpp
@@ -7,6 +7,8 @@
 
 #include <CLI/CLI.hpp>
 
+#include <malloc.h>
+
 #include <iostream>
 
 namespace {
@@ -50,6 +52,17 @@
     return ExitCode::CutOff;
 }
 
+/**
+ * Makes the allocator give the memory of freed bodies back to the system: it would otherwise raise
+ * the size from which it does so to that of the largest body it has seen.
+ */
+void giveMemoryBack()
+{
+    constexpr int mapThreshold = 128 * 1024;
+    ::mallopt(M_MMAP_THRESHOLD, mapThreshold);
+    ::mallopt(M_TRIM_THRESHOLD, mapThreshold);
+}
+
 /** Runs a daemon that stores its state in a metadata store. */
 int runEntry(const std::string &settingsPath, bool isCheckOnly)
 {
@@ -58,6 +71,7 @@
         return printProblems(result.problems, result.error);
     if (isCheckOnly)
         return printSettingsUsable(settingsPath);
+    giveMemoryBack();
     io::startLogging(result.settings.logLevel, result.settings.host.value());
     const EntryResult end = EntryDaemon{result.settings}.run();
     io::stopLogging();
--- a/src/libbulrush/process/entrysettings.h
+++ b/src/libbulrush/process/entrysettings.h
@@ -9,6 +9,7 @@
 #include "process/retrybudgets.h"
 #include "version/identifier.h"
 
+#include <cstdint>
 #include <string>
 
 namespace bulrush {
@@ -50,6 +51,8 @@
     double processors = 1.0;
     /** Bandwidth of the host's network link, in megabits per second. */
     double linkMegabits = 1000.0;
+    /** Memory of the host, which the process must not exceed. The smallest host's by default. */
+    std::uint64_t memoryBytes = 120'000'000;
     /** Retries that all daemons together may send. */
     RetryAllowance retries;
     LogLevel logLevel = LogLevel::Info;
--- a/src/libbulrush/process/recordlifetime.h
+++ b/src/libbulrush/process/recordlifetime.h
@@ -17,6 +17,8 @@
     /** Interval at which servers write their records. Longer than any known one by default. */
     Duration heartbeat = std::chrono::seconds{3};
 
+    bool operator==(const RecordLifetime &) const = default;
+
     /**
      * \returns the time after the end of a run from which on no confirmation of the store shows its
      * record any more, if the store was available meanwhile.
--- a/src/libbulrushentry/calleranswer.cpp
+++ b/src/libbulrushentry/calleranswer.cpp
@@ -51,12 +51,12 @@
     return CallerAnswer{io::refusal(status == notFound ? notFound : badRequest)};
 }
 
-std::optional<CallerAnswer> CallerAnswer::ofServer(const io::HttpResponse &response)
+std::optional<CallerAnswer> CallerAnswer::ofServer(io::HttpResponse response)
 {
     if (isNotRunStatus(response.status))
         return std::nullopt;
-    return CallerAnswer{
-        {response.status, platform::returnedFields(response.headers), response.body}};
+    response.headers = platform::returnedFields(response.headers);
+    return CallerAnswer{std::move(response)};
 }
 
 } // namespace bulrush
--- a/src/libbulrushentry/calleranswer.h
+++ b/src/libbulrushentry/calleranswer.h
@@ -41,7 +41,7 @@
      * \returns the server's own answer \a response, without the fields of its connection, or
      * nothing if its status would promise that the request did not run.
      */
-    static std::optional<CallerAnswer> ofServer(const io::HttpResponse &response);
+    static std::optional<CallerAnswer> ofServer(io::HttpResponse response);
 
     const io::HttpResponse &response() const;
 
--- a/src/libbulrushentry/entrycounters.cpp
+++ b/src/libbulrushentry/entrycounters.cpp
@@ -47,6 +47,8 @@
     "slow_starts_begun",
     "slow_starts_ended",
     "slow_start_steps_back",
+    "requests_without_room",
+    "answers_without_room",
 };
 
 constexpr std::array<double, 4> quantiles = {0.5, 0.9, 0.99, 0.999};
--- a/src/libbulrushentry/entrycounters.h
+++ b/src/libbulrushentry/entrycounters.h
@@ -51,8 +51,10 @@
     RefusedOverloaded, ///< requests refused for that reason, callers' and relayed ones
     SlowStartsBegun,   ///< of servers at this daemon, whatever the cause
     SlowStartsEnded,
-    SlowStartStepsBack, ///< reductions of a window in slow starts that have ended
-    Count,              ///< number of counters
+    SlowStartStepsBack,  ///< reductions of a window in slow starts that have ended
+    RequestsWithoutRoom, ///< requests that were refused as there is no memory for their body
+    AnswersWithoutRoom,  ///< answers of servers that were dropped for that reason
+    Count,               ///< number of counters
 };
 
 /** \returns the counter of requests of \a priority that were refused by a share. Thread safe. */
--- a/src/libbulrushentry/entrypages.cpp
+++ b/src/libbulrushentry/entrypages.cpp
@@ -190,6 +190,9 @@
     text += std::string{"assignments: "}
         + (m_sources.keys.areAssignmentsConfirmed() ? "confirmed" : "unconfirmed") + '\n';
     text += "open: " + std::to_string(m_sources.worker.openCount()) + '\n';
+    const MemoryAccount &memory = m_sources.worker.memory();
+    text += "memory: " + std::to_string(memory.held()) + " of " + std::to_string(memory.capacity())
+        + " bytes held\n";
     return text;
 }
 
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -89,7 +89,8 @@
 ForwardContext::ForwardContext(asio::io_context &ownLoop, const EntrySettings &settings,
                                EntryCounters &ownCounters)
     : loop(ownLoop)
-    , servers(ownLoop, settings.outgoing.address)
+    , memory(std::make_shared<MemoryAccount>(settings.memoryBytes))
+    , servers(ownLoop, settings.outgoing.address, memory)
     , timers(ownLoop)
     , counters(ownCounters)
     , self(settings.host)
@@ -632,6 +633,24 @@
     }
 }
 
+void ForwardContext::reportMemory()
+{
+    const std::uint64_t requests = memory->refusals(MemoryUse::Request);
+    const std::uint64_t answers = memory->refusals(MemoryUse::Answer);
+    const std::uint64_t newRequests =
+        requests - std::exchange(m_reportedRequestsWithoutRoom, requests);
+    const std::uint64_t newAnswers = answers - std::exchange(m_reportedAnswersWithoutRoom, answers);
+    if (newRequests + newAnswers == 0)
+        return;
+    counters.add(EntryCounter::RequestsWithoutRoom, newRequests);
+    counters.add(EntryCounter::AnswersWithoutRoom, newAnswers);
+    io::logEvent(LogLevel::Warning, "memory-full",
+                 {{"requests-refused", std::to_string(newRequests)},
+                  {"answers-dropped", std::to_string(newAnswers)},
+                  {"held-bytes", std::to_string(memory->held())},
+                  {"capacity-bytes", std::to_string(memory->capacity())}});
+}
+
 void ForwardContext::logUnknownFields(const ServerName &server,
                                       std::span<const std::string_view> names)
 {
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -63,6 +63,8 @@
     ForwardContext(asio::io_context &loop, const EntrySettings &settings, EntryCounters &counters);
 
     asio::io_context &loop;
+    /** What callers' requests and servers' answers hold. */
+    std::shared_ptr<MemoryAccount> memory;
     io::ServerClient servers;
     io::LoopTimers timers;
     EntryCounters &counters;
@@ -195,6 +197,9 @@
     /** Logs and counts the slow starts that began or ended since the last call. */
     void reportPaceChanges();
 
+    /** Counts and logs what found no room in the account of memory since the last call. */
+    void reportMemory();
+
     /** Logs fields of a server's answer that this daemon does not know, each name once. */
     void logUnknownFields(const ServerName &server, std::span<const std::string_view> names);
 
@@ -231,6 +236,8 @@
     std::vector<ServerName> serversIn(const DomainName &domain) const;
 
     ConfigBudget m_configBudget;
+    std::uint64_t m_reportedRequestsWithoutRoom = 0;
+    std::uint64_t m_reportedAnswersWithoutRoom = 0;
     /** The last instant at which the store was confirmed to hold no later configuration. */
     Instant m_configConfirmedAt;
     Instant m_leavingReportedAt;
--- a/src/libbulrushentry/forwardexchange.cpp
+++ b/src/libbulrushentry/forwardexchange.cpp
@@ -184,11 +184,12 @@
     if (m_isFinished)
         return;
     if (m_request->isBodyBuffered()) {
-        *m_body = m_request->body();
+        *m_body = m_request->takeBody();
         computeFingerprint();
         enqueue(m_startedAt);
         return;
     }
+    m_body->reserve(m_request->bodyLength());
     m_request->readBody(
         [self = shared_from_this()](std::error_code error, const std::string &bytes) {
             if (self->m_isFinished)
@@ -337,10 +338,10 @@
     };
     call.echoedField = platform::requestIdField;
     call.avoidedConnections = m_usedConnections;
-    m_call = m_context.servers.send(std::move(call),
-                                    [self = shared_from_this()](const io::HttpResult &result) {
-                                        self->handleAttemptResult(result);
-                                    });
+    m_call =
+        m_context.servers.send(std::move(call), [self = shared_from_this()](io::HttpResult result) {
+            self->handleAttemptResult(std::move(result));
+        });
 }
 
 /** \returns whether \a server names no limit, or the request may be sent to it all the same. */
@@ -431,7 +432,7 @@
     return server ? m_context.picker.sendDeadline(*server) : Instant::max();
 }
 
-void ForwardExchange::handleAttemptResult(const io::HttpResult &result)
+void ForwardExchange::handleAttemptResult(io::HttpResult result)
 {
     m_call.reset();
     if (result.stage != io::TransferStage::NotConnected)
@@ -444,10 +445,10 @@
     if (result.error)
         handleBrokenAttempt(result);
     else
-        handleAnswer(result);
+        handleAnswer(std::move(result));
 }
 
-void ForwardExchange::handleAnswer(const io::HttpResult &result)
+void ForwardExchange::handleAnswer(io::HttpResult result)
 {
     const Instant now = io::hostNow();
     const io::HttpResponse &response = result.response;
@@ -486,7 +487,7 @@
     if (isEncoded)
         finishUnknown(UnknownStatus::BadGateway, "answer-encoded");
     else
-        returnAnswer(response);
+        returnAnswer(std::move(result.response));
 }
 
 /** Logs what shows that the server did not run the request. */
@@ -745,16 +746,17 @@
     return true;
 }
 
-void ForwardExchange::returnAnswer(const io::HttpResponse &response)
+void ForwardExchange::returnAnswer(io::HttpResponse response)
 {
-    const std::optional<CallerAnswer> answer = CallerAnswer::ofServer(response);
+    const int status = response.status;
+    const std::optional<CallerAnswer> answer = CallerAnswer::ofServer(std::move(response));
     if (!answer) {
         finishUnknown(UnknownStatus::BadGateway, "status-without-statement");
         return;
     }
     m_context.counters.add(EntryCounter::AnswersReturned);
     m_context.counters.recordLatency(elapsed());
-    log("answered", response.status, "server");
+    log("answered", status, "server");
     send(*answer, RelayOutcome::Answered, "server");
     finish();
 }
@@ -827,9 +829,9 @@
 void ForwardExchange::finishUnknown(UnknownStatus status, std::string_view reason)
 {
     // The answer of a server that failed is more useful to the caller than an unknown outcome.
-    if (const auto failed = std::exchange(m_failedAnswer, std::nullopt)) {
+    if (auto failed = std::exchange(m_failedAnswer, std::nullopt)) {
         m_server = failed->server;
-        returnAnswer(failed->response);
+        returnAnswer(std::move(failed->response));
         return;
     }
     m_context.counters.add(EntryCounter::EndedUnknown);
--- a/src/libbulrushentry/forwardexchange.h
+++ b/src/libbulrushentry/forwardexchange.h
@@ -91,8 +91,8 @@
     void handlePermit(const PermitAnswer &answer, Instant namedAt, Duration maxWait);
     void reportLimitEnd();
     Instant sendDeadline() const;
-    void handleAttemptResult(const io::HttpResult &result);
-    void handleAnswer(const io::HttpResult &result);
+    void handleAttemptResult(io::HttpResult result);
+    void handleAnswer(io::HttpResult result);
     void logRefusedAttempt(const io::HttpResult &result) const;
     bool isOnTimeAfter(Duration wait) const;
     void handleRefusal(const ServerStatement &statement, int status);
@@ -106,7 +106,7 @@
     void recordRelayedBackoff(const io::HttpResponse &response);
     bool retryOnOtherServer(Duration delay = Duration::zero());
     bool scheduleRetry(Duration delay);
-    void returnAnswer(const io::HttpResponse &response);
+    void returnAnswer(io::HttpResponse response);
     using UnknownStatus = CallerAnswer::UnknownStatus;
     void finishNotRun(const NotRunProof &proof, std::string_view reason, RetryAdvice advice);
     void finishUnknown(UnknownStatus status, std::string_view reason);
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -228,6 +228,7 @@
     settings.requestReadTimeout = callerIdleTimeout;
     settings.bodyLimit = m_settings.limits.maxBodyBytes;
     settings.headerValueLimit = m_settings.limits.maxHeaderBytes;
+    settings.memory = m_context.memory;
     return settings;
 }
 
@@ -243,6 +244,7 @@
     m_context.probeServers(now);
     m_context.reportPaceChanges();
     m_isCutOff = m_context.isCutOff(now);
+    m_context.reportMemory();
     const std::uint64_t opened = m_context.servers.openedConnectionCount();
     m_counters.add(EntryCounter::ConnectionsOpened,
                    opened - std::exchange(m_countedConnections, opened));
--- a/src/libbulrushentry/forwardworker.h
+++ b/src/libbulrushentry/forwardworker.h
@@ -123,6 +123,9 @@
     /** \returns how many requests have no answer yet. Thread safe. */
     std::size_t openCount() const;
 
+    /** \returns the account of the memory for requests and answers. */
+    const MemoryAccount &memory() const;
+
     /** \returns how many connections of callers were open at the last update. Thread safe. */
     std::size_t connectionCount() const;
 
@@ -168,6 +171,11 @@
     return m_isCutOff;
 }
 
+inline const MemoryAccount &ForwardWorker::memory() const
+{
+    return *m_context.memory;
+}
+
 inline std::size_t ForwardWorker::openCount() const
 {
     return m_openCount;
--- a/src/libbulrushio/connection/answerparser.cpp
+++ b/src/libbulrushio/connection/answerparser.cpp
@@ -3,7 +3,9 @@
 #include "connection/httpfield.h"
 #include "connection/transporterror.h"
 
+#include <algorithm>
 #include <charconv>
+#include <climits>
 #include <utility>
 
 namespace bulrush::io {
@@ -13,12 +15,15 @@
 constexpr int firstFinalStatus = 200;
 /** Maximum size of an answer's header fields; backend servers send far less. */
 constexpr std::size_t maxHeaderBytes = std::size_t{64} * 1024;
+/** A body is copied when its room grows, and when its answer is written. */
+constexpr std::uint64_t copiesHeld = 2;
 constexpr std::string_view timeoutParameter = "timeout=";
 
 } // namespace
 
-AnswerParser::AnswerParser(std::size_t bodyLimit)
+AnswerParser::AnswerParser(std::size_t bodyLimit, std::shared_ptr<MemoryAccount> memory)
     : m_bodyLimit(bodyLimit)
+    , m_memory(std::move(memory))
 {
     begin(false);
 }
@@ -28,6 +33,7 @@
     http_parser_init(&m_parser, HTTP_RESPONSE);
     m_parser.data = this;
     m_response = {};
+    m_bodyMemory.reset();
     m_error = {};
     m_headerBytes = 0;
     m_isHead = isHead;
@@ -90,6 +96,7 @@
 
 HttpResponse AnswerParser::takeResponse()
 {
+    m_response.memory = std::move(m_bodyMemory);
     return std::move(m_response);
 }
 
@@ -140,17 +147,38 @@
         header.value = std::string{trimmed(header.value)};
     if (parser->upgrade != 0)
         return -1;
-    return answer.m_isHead ? 1 : 0;
+    if (answer.m_isHead)
+        return 1;
+    const bool hasLength = parser->content_length != ULLONG_MAX;
+    return !hasLength || answer.reserveBody(parser->content_length) ? 0 : -1;
+}
+
+/** Makes room for a body of \a length. \returns false if there is none. */
+bool AnswerParser::reserveBody(std::uint64_t length)
+{
+    if (length == 0)
+        return true;
+    if (!m_bodyMemory)
+        m_bodyMemory = std::make_shared<MemoryHolder>(m_memory, MemoryUse::Answer);
+    if (length > m_bodyLimit || !m_bodyMemory->growTo(copiesHeld * length)) {
+        m_error = TransportError::AnswerTooLarge;
+        return false;
+    }
+    m_response.body.reserve(length);
+    return true;
 }
 
 int AnswerParser::onBody(http_parser *parser, const char *at, std::size_t length)
 {
     AnswerParser &answer = self(parser);
-    answer.m_response.body.append(at, length);
-    if (answer.m_response.body.size() <= answer.m_bodyLimit)
-        return 0;
-    answer.m_error = TransportError::AnswerTooLarge;
-    return -1;
+    std::string &body = answer.m_response.body;
+    const std::size_t needed = body.size() + length;
+    // Without a length the room grows in steps, so that few copies are made.
+    const std::size_t step = std::min(answer.m_bodyLimit, std::max(needed, 2 * body.capacity()));
+    if (needed > body.capacity() && !answer.reserveBody(std::max(needed, step)))
+        return -1;
+    body.append(at, length);
+    return 0;
 }
 
 int AnswerParser::onMessageComplete(http_parser *parser)
--- a/src/libbulrushio/connection/answerparser.h
+++ b/src/libbulrushio/connection/answerparser.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "admission/memoryholder.h"
 #include "connection/httpclient.h"
 
 #include <http_parser.h>
 
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,8 +22,11 @@
 class AnswerParser
 {
 public:
-    /** Answers with a body longer than \a bodyLimit are rejected. */
-    explicit AnswerParser(std::size_t bodyLimit);
+    /**
+     * Answers with a body longer than \a bodyLimit are rejected, and those for which \a memory, if
+     * given, has no room.
+     */
+    explicit AnswerParser(std::size_t bodyLimit, std::shared_ptr<MemoryAccount> memory = nullptr);
 
     AnswerParser(const AnswerParser &) = delete;
     AnswerParser &operator=(const AnswerParser &) = delete;
@@ -65,8 +70,11 @@
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &callbacks();
     bool addHeaderBytes(std::size_t length);
+    bool reserveBody(std::uint64_t length);
 
     std::size_t m_bodyLimit;
+    std::shared_ptr<MemoryAccount> m_memory;
+    std::shared_ptr<MemoryHolder> m_bodyMemory;
     http_parser m_parser{};
     HttpResponse m_response;
     std::error_code m_error;
--- a/src/libbulrushio/connection/callerconnection.cpp
+++ b/src/libbulrushio/connection/callerconnection.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t maxDiscardedBytes = std::size_t{1024} * 1024;
 constexpr int badRequest = 400;
 constexpr int requestTimeout = 408;
+constexpr int serviceUnavailable = 503;
+/** What holds the memory is served, or ends by its time-out, within seconds. */
+constexpr std::string_view retryAfterSeconds = "1";
 constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
 thread_local CallerConnection *activeConnection = nullptr;
@@ -39,6 +42,8 @@
     std::string text = statusLine(status);
     for (const HttpHeader &header : response.headers)
         text += header.name + ": " + header.value + "\r\n";
+    if (status == serviceUnavailable)
+        text += "Retry-After: " + std::string{retryAfterSeconds} + "\r\n";
     text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
     return text + "Connection: close\r\n\r\n" + response.body;
 }
@@ -80,6 +85,7 @@
     m_registry = registry;
     m_server = registry->server();
     m_bufferedBodyLimit = registry->bufferedBodyLimit();
+    m_bodyMemory = registry->newBodyMemory();
     registry->add(this);
 }
 
@@ -88,6 +94,17 @@
     return m_bufferedBodyLimit;
 }
 
+bool CallerConnection::reserveBody(std::uint64_t length)
+{
+    return m_bodyMemory.growTo(length);
+}
+
+MemoryHolder CallerConnection::takeBodyMemory()
+{
+    const auto registry = m_registry.lock();
+    return std::exchange(m_bodyMemory, registry ? registry->newBodyMemory() : MemoryHolder{});
+}
+
 void CallerConnection::recordRead(std::error_code error, std::size_t length)
 {
     m_unhandledBytes += length;
@@ -271,6 +288,16 @@
     return m_bufferedBodyLimit;
 }
 
+void CallerRegistry::setMemory(std::shared_ptr<MemoryAccount> memory)
+{
+    m_memory = std::move(memory);
+}
+
+MemoryHolder CallerRegistry::newBodyMemory() const
+{
+    return MemoryHolder{m_memory, MemoryUse::Request};
+}
+
 void CallerRegistry::add(CallerConnection *connection)
 {
     m_connections.push_back(connection);
--- a/src/libbulrushio/connection/callerconnection.h
+++ b/src/libbulrushio/connection/callerconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/memoryholder.h"
 #include "connection/callerlink.h"
 
 #include <asio/io_context.hpp>
@@ -51,6 +52,15 @@
      */
     std::uint64_t bufferedBodyLimit() const;
 
+    /**
+     * Makes room for the first \a length bytes of the body that is being received.
+     * \returns false if there is none.
+     */
+    bool reserveBody(std::uint64_t length);
+
+    /** \returns what the body that has been received holds. */
+    MemoryHolder takeBodyMemory();
+
     /** Records the result of a read of \a length bytes. */
     void recordRead(std::error_code error, std::size_t length);
 
@@ -135,6 +145,7 @@
     std::vector<std::weak_ptr<CallerLink>> m_links;
     std::string m_discardBuffer;
     std::uint64_t m_bufferedBodyLimit = 0;
+    MemoryHolder m_bodyMemory;
     std::optional<std::uint64_t> m_upload;
     std::optional<int> m_refusal;
     std::size_t m_unhandledBytes = 0;
@@ -160,6 +171,10 @@
     void setBufferedBodyLimit(std::uint64_t limit);
     std::uint64_t bufferedBodyLimit() const;
 
+    /** Sets the account of request bodies, if any. \pre no connection was added */
+    void setMemory(std::shared_ptr<MemoryAccount> memory);
+    MemoryHolder newBodyMemory() const;
+
     void add(CallerConnection *connection);
     void remove(CallerConnection *connection);
 
@@ -181,6 +196,7 @@
     std::weak_ptr<void> m_server;
     std::vector<CallerConnection *> m_connections;
     std::uint64_t m_bufferedBodyLimit = 0;
+    std::shared_ptr<MemoryAccount> m_memory;
     bool m_isDraining = false;
 };
 
--- a/src/libbulrushio/connection/callerserver.cpp
+++ b/src/libbulrushio/connection/callerserver.cpp
@@ -40,6 +40,7 @@
 constexpr int expectationFailed = 417;
 constexpr int headerTooLarge = 431;
 constexpr int notImplemented = 501;
+constexpr int serviceUnavailable = 503;
 constexpr int versionNotSupported = 505;
 
 /**
@@ -134,6 +135,11 @@
         isChunked(parser) || (parser->content_length != ULLONG_MAX && parser->content_length > 0);
     if (connection && hasBody && context.m_header.has_field(restinio::http_field::expect))
         connection->sendContinue();
+    // A declared length gets all of its room before its first byte is read, or none, so that bodies
+    // that are half received never wait for each other.
+    const bool hasLength = parser->content_length != ULLONG_MAX;
+    if (connection && hasLength && !connection->reserveBody(parser->content_length))
+        return refuse(serviceUnavailable);
     const bool isSmall =
         parser->content_length == ULLONG_MAX || parser->content_length <= bufferedBodyLimit();
     if (isSmall)
@@ -165,13 +171,28 @@
     return restinio::impl::restinio_message_complete_cb<CallerMethods>(parser);
 }
 
+/** Buffers bytes of a body without a declared length, which grows in steps. */
+int bufferChunk(http_parser *parser, std::string_view bytes)
+{
+    std::string &body = parserContext(parser).m_body;
+    const std::size_t length = body.size() + bytes.size();
+    if (length > bufferedBodyLimit())
+        return refuse(lengthRequired);
+    if (length > body.capacity()) {
+        const std::size_t room = std::max(length, 2 * body.capacity());
+        CallerConnection *connection = CallerConnection::current();
+        if (connection && !connection->reserveBody(room))
+            return refuse(serviceUnavailable);
+        body.reserve(room);
+    }
+    return restinio::impl::restinio_body_cb(parser, bytes.data(), bytes.size());
+}
+
 int onBody(http_parser *parser, const char *at, std::size_t length)
 {
     const std::size_t bufferedBytes = parserContext(parser).m_body.size() + length;
     if (isChunked(parser))
-        return bufferedBytes > bufferedBodyLimit()
-            ? refuse(lengthRequired)
-            : restinio::impl::restinio_body_cb(parser, at, length);
+        return bufferChunk(parser, {at, length});
     // The parser has already subtracted these bytes from content_length.
     const std::uint64_t bodyLength = parser->content_length + bufferedBytes;
     if (bodyLength > bufferedBodyLimit())
@@ -407,6 +428,7 @@
 {
     m_registry->setServer(m_server);
     m_registry->setBufferedBodyLimit(m_settings.bufferedBodyLimit);
+    m_registry->setMemory(m_settings.memory);
 }
 
 std::error_code CallerServer::Impl::listen()
@@ -429,6 +451,7 @@
     if (!connection->acceptsRequests())
         return restinio::request_accepted();
     const std::optional<std::uint64_t> upload = connection->takeUpload();
+    MemoryHolder memory = connection->takeBodyMemory();
     RequestHead head = toRequestHead(*request);
     const std::shared_ptr<CallerLink> link = upload ? createUploadLink(core, *request, *upload)
                                                     : createRestinioLink(*connection, *request);
@@ -441,11 +464,11 @@
         writer->send(refusal(badRequest));
         return restinio::request_accepted();
     }
-    core.handler(
-        std::make_shared<IncomingRequest>(std::move(head), upload ? std::string{} : request->body(),
-                                          upload.value_or(request->body().size()),
-                                          formatEndpoint(request->remote_endpoint()), link),
-        std::move(writer));
+    core.handler(std::make_shared<IncomingRequest>(
+                     std::move(head), upload ? std::string{} : request->body(),
+                     upload.value_or(request->body().size()),
+                     formatEndpoint(request->remote_endpoint()), link, std::move(memory)),
+                 std::move(writer));
     return restinio::request_accepted();
 }
 
--- a/src/libbulrushio/connection/callerserver.h
+++ b/src/libbulrushio/connection/callerserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/memoryaccount.h"
 #include "connection/incomingrequest.h"
 #include "connection/responsewriter.h"
 #include "process/clock.h"
@@ -43,6 +44,8 @@
     std::uint64_t bufferedBodyLimit = smallBodyLimit;
     /** Maximum length of a body. */
     std::uint64_t bodyLimit = std::uint64_t{128} * 1024 * 1024;
+    /** Account in which the bodies of requests are counted, if any. */
+    std::shared_ptr<MemoryAccount> memory = nullptr;
     std::size_t urlLimit = std::size_t{8} * 1024;
     std::size_t headerCountLimit = 100;
     std::size_t headerNameLimit = 256;
--- a/src/libbulrushio/connection/httpclient.h
+++ b/src/libbulrushio/connection/httpclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/memoryholder.h"
 #include "process/clock.h"
 
 #include <asio/io_context.hpp>
@@ -45,6 +46,8 @@
     int status = 0;
     std::vector<HttpHeader> headers;
     std::string body;
+    /** What the body holds in the process's account of memory, if it is counted there. */
+    std::shared_ptr<const MemoryHolder> memory = nullptr;
 };
 
 /** The stage that a transfer reached; it determines whether the server may have run the request. */
--- a/src/libbulrushio/connection/incomingrequest.cpp
+++ b/src/libbulrushio/connection/incomingrequest.cpp
@@ -5,14 +5,22 @@
 namespace bulrush::io {
 
 IncomingRequest::IncomingRequest(RequestHead head, std::string body, std::uint64_t bodyLength,
-                                 std::string remoteAddress, std::shared_ptr<CallerLink> link)
+                                 std::string remoteAddress, std::shared_ptr<CallerLink> link,
+                                 MemoryHolder memory)
     : m_head(std::move(head))
     , m_body(std::move(body))
     , m_bodyLength(bodyLength)
+    , m_isBodyBuffered(m_body.size() == bodyLength)
     , m_remoteAddress(std::move(remoteAddress))
     , m_link(std::move(link))
+    , m_memory(std::move(memory))
 { }
 
+std::string IncomingRequest::takeBody()
+{
+    return std::move(m_body);
+}
+
 void IncomingRequest::readBody(CallerLink::BodyHandler handler)
 {
     m_link->readBody(std::move(handler));
--- a/src/libbulrushio/connection/incomingrequest.h
+++ b/src/libbulrushio/connection/incomingrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/memoryholder.h"
 #include "connection/callerlink.h"
 #include "connection/httpclient.h"
 
@@ -28,7 +29,8 @@
 {
 public:
     IncomingRequest(RequestHead head, std::string body, std::uint64_t bodyLength,
-                    std::string remoteAddress, std::shared_ptr<CallerLink> link);
+                    std::string remoteAddress, std::shared_ptr<CallerLink> link,
+                    MemoryHolder memory = {});
 
     const RequestHead &head() const;
 
@@ -41,6 +43,9 @@
     /** \returns the complete body. \pre isBodyBuffered() */
     const std::string &body() const;
 
+    /** \returns the complete body by moving it out of the request. \pre isBodyBuffered() */
+    std::string takeBody();
+
     /** \returns the body's length. */
     std::uint64_t bodyLength() const;
 
@@ -67,8 +72,11 @@
     RequestHead m_head;
     std::string m_body;
     std::uint64_t m_bodyLength;
+    bool m_isBodyBuffered;
     std::string m_remoteAddress;
     std::shared_ptr<CallerLink> m_link;
+    /** What the body holds in the process's account of memory, while the request exists. */
+    MemoryHolder m_memory;
 };
 
 inline const RequestHead &IncomingRequest::head() const
@@ -83,7 +91,7 @@
 
 inline bool IncomingRequest::isBodyBuffered() const
 {
-    return m_body.size() == m_bodyLength;
+    return m_isBodyBuffered;
 }
 
 inline const std::string &IncomingRequest::body() const
--- a/src/libbulrushio/connection/responsewriter.cpp
+++ b/src/libbulrushio/connection/responsewriter.cpp
@@ -63,7 +63,7 @@
     if (!isBodyless(response.status))
         text += response.body;
     m_hasBegun = true;
-    writeLast(std::move(text));
+    writeLast(std::move(text), response.memory);
 }
 
 void ResponseWriter::begin(const ResponseHead &head, std::optional<std::uint64_t> length)
@@ -130,12 +130,13 @@
     return text;
 }
 
-void ResponseWriter::writeLast(std::string bytes)
+/** Writes \a bytes, for which \a memory is held until they are written. */
+void ResponseWriter::writeLast(std::string bytes, std::shared_ptr<const MemoryHolder> memory)
 {
     m_isOver = true;
     m_link->setDisconnectHandler(nullptr);
     const WritePart part = m_isKeptAlive ? WritePart::Last : WritePart::LastAndClose;
-    m_link->write(std::move(bytes), part, nullptr);
+    m_link->write(std::move(bytes), part, [memory = std::move(memory)](std::error_code) {});
 }
 
 bool ResponseWriter::isBodyless(int status) const
--- a/src/libbulrushio/connection/serverclient.cpp
+++ b/src/libbulrushio/connection/serverclient.cpp
@@ -86,9 +86,11 @@
     }
 };
 
-ServerClient::ServerClient(asio::io_context &loop, std::string source)
+ServerClient::ServerClient(asio::io_context &loop, std::string source,
+                           std::shared_ptr<MemoryAccount> memory)
     : m_loop(loop)
     , m_source(std::move(source))
+    , m_memory(std::move(memory))
     , m_pool(std::make_shared<Pool>())
 { }
 
@@ -176,7 +178,7 @@
 ConnectionPtr ServerClient::createConnection(const Endpoint &server, const std::string &run)
 {
     const std::weak_ptr<Pool> pool = m_pool;
-    const ServerConnection::Target target{server, run, m_source, ++m_openedCount};
+    const ServerConnection::Target target{server, run, m_source, ++m_openedCount, m_memory};
     auto connection =
         std::make_shared<ServerConnection>(m_loop, target, [pool](const ConnectionPtr &changed) {
             if (const auto held = pool.lock())
--- a/src/libbulrushio/connection/serverclient.h
+++ b/src/libbulrushio/connection/serverclient.h
@@ -28,8 +28,12 @@
 public:
     using CallId = std::uint64_t;
 
-    /** Connections leave from the address \a source; if it is empty, the system chooses. */
-    explicit ServerClient(asio::io_context &loop, std::string source = {});
+    /**
+     * Connections leave from the address \a source; if it is empty, the system chooses. The bodies
+     * of answers are counted in \a memory, if given.
+     */
+    explicit ServerClient(asio::io_context &loop, std::string source = {},
+                          std::shared_ptr<MemoryAccount> memory = nullptr);
 
     /** Closes all connections; the handlers of open calls are not called. */
     ~ServerClient();
@@ -88,6 +92,7 @@
 
     asio::io_context &m_loop;
     std::string m_source;
+    std::shared_ptr<MemoryAccount> m_memory;
     std::shared_ptr<Pool> m_pool;
     std::map<CallId, std::weak_ptr<ServerConnection>> m_calls;
     CallId m_nextId = 1;
--- a/src/libbulrushio/connection/serverconnection.cpp
+++ b/src/libbulrushio/connection/serverconnection.cpp
@@ -63,7 +63,7 @@
     , m_timer(loop)
     , m_target(std::move(target))
     , m_stateHandler(std::move(stateHandler))
-    , m_parser(maxAnswerBodyBytes)
+    , m_parser(maxAnswerBodyBytes, m_target.memory)
 { }
 
 void ServerConnection::send(ServerCall call, ServerCallHandler handler)
--- a/src/libbulrushio/connection/serverconnection.h
+++ b/src/libbulrushio/connection/serverconnection.h
@@ -35,6 +35,8 @@
         /** The address that the connection leaves from; if it is empty, the system chooses. */
         std::string source;
         ConnectionNumber number = 0;
+        /** Account in which the bodies of answers are counted, if any. */
+        std::shared_ptr<MemoryAccount> memory = nullptr;
     };
 
     ServerConnection(asio::io_context &loop, Target target, StateHandler stateHandler);
--- a/src/libbulrushio/process/entrysettingsreader.cpp
+++ b/src/libbulrushio/process/entrysettingsreader.cpp
@@ -98,6 +98,13 @@
     readRetries(fields, settings.retries);
     constexpr double maxProcessors = 1024.0;
     fields.read("processors", decimal(0.0, maxProcessors), settings.processors, Presence::Optional);
+    constexpr double bytesPerMegabyte = 1e6;
+    constexpr double minMegabytes = 64.0;
+    constexpr double maxMegabytes = 1'000'000.0;
+    double megabytes = static_cast<double>(settings.memoryBytes) / bytesPerMegabyte;
+    fields.read("memoryMegabytes", decimal(minMegabytes, maxMegabytes), megabytes,
+                Presence::Optional);
+    settings.memoryBytes = static_cast<std::uint64_t>(megabytes * bytesPerMegabyte);
     constexpr double minMegabits = 0.1;
     constexpr double maxMegabits = 1'000'000.0;
     fields.read("linkMegabitsPerSecond", decimal(minMegabits, maxMegabits), settings.linkMegabits,
--- a/tests/entrysettings/test_entrysettings.cpp
+++ b/tests/entrysettings/test_entrysettings.cpp
@@ -93,6 +93,9 @@
         {"{{#bounds.graceS}}\n", ""},
         {"{{/bounds.graceS}}\n", ""},
         {"{{heartbeatS}}", "1.5"},
+        {"{{limits.memoryMb}}", "260"},
+        {"{{#limits.memoryMb}}\n", ""},
+        {"{{/limits.memoryMb}}\n", ""},
         {"{{#heartbeatS}}\n", ""},
         {"{{/heartbeatS}}\n", ""},
         {"{{bounds.budgetSlack}}", "64"},
@@ -138,6 +141,7 @@
     BOOST_TEST(reading.settings.linkMegabits == 20.0);
     BOOST_TEST((reading.settings.serverDrain == 2500ms));
     BOOST_TEST((reading.settings.serverRecords.heartbeat == 1500ms));
+    BOOST_TEST(reading.settings.memoryBytes == 260'000'000U);
     BOOST_TEST((reading.settings.configInForce == 3s));
     BOOST_TEST((reading.settings.evacuation == 4500ms));
     BOOST_TEST((reading.settings.drainTime == 9500ms));
