Keep no record of each chunk of a body

What callers saw: many chunked bodies in chunks of one byte took twelve times their length of a daemon's memory, and could end it.

Cause: RESTinio's callback keeps a record of each chunk, its place and length, which nothing here reads and no account of bodies counts.

Change: the callbacks for chunks are left out of the parser's settings; the body itself is put together as before.

--- a/src/libbulrushio/connection/callerserver.cpp
+++ b/src/libbulrushio/connection/callerserver.cpp
@@ -215,8 +215,7 @@
     settings.on_header_value = &bulrush::io::onHeaderValue;
     settings.on_headers_complete = &bulrush::io::onHeadersComplete;
     settings.on_body = &bulrush::io::onBody;
-    settings.on_chunk_header = &restinio::impl::restinio_chunk_header_cb;
-    settings.on_chunk_complete = &restinio::impl::restinio_chunk_complete_cb;
+    // RESTinio's callbacks for chunks are left out: they would keep a record of each chunk.
     settings.on_message_complete = &bulrush::io::onMessageComplete;
     return settings;
 }
--- a/tests/callercrowd/test_callercrowd.cpp
+++ b/tests/callercrowd/test_callercrowd.cpp
@@ -103,6 +103,21 @@
     }
 }
 
+// For each chunk a record was kept, which is larger than a chunk of one byte.
+BOOST_FIXTURE_TEST_CASE(chunksOfOneByte, CrowdFleet)
+{
+    const std::string body = chunks(300'000, 1);
+    for (int wave = 0; wave < waveCount; ++wave) {
+        gather(120, [&](RawConnection &caller, int number) {
+            caller.send(
+                head("POST", "/pay/x", "tiny" + std::to_string(wave) + '-' + std::to_string(number))
+                + "Transfer-Encoding: chunked\r\n\r\n");
+            caller.send(body);
+        });
+        checkAndDisperse();
+    }
+}
+
 // Long answers that callers hardly read were all held.
 BOOST_FIXTURE_TEST_CASE(longAnswersReadSlowly, CrowdFleet)
 {
