Let callers without an open request give way to new ones

What callers saw: 1,200 connections, idle or in the middle of a head or a small body, kept an ordinary caller out for longer than its deadline.

Change: once 15 of 16 places are taken, a new connection takes the place of the one that has waited longest without an open request. Bytes that arrive do not count, so that a caller who sends slowly gives way first. A counter shows it.

Evidence: callersWhoHoldAllPlacesGiveWay failed in its three cases on the code before (no answer) and passes now, with the other cases of callercrowd and those of callerserver.

--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -246,6 +246,9 @@
     m_isCutOff = m_context.isCutOff(now);
     m_context.reportMemory();
     const std::uint64_t opened = m_context.servers.openedConnectionCount();
+    const std::uint64_t givenWay = m_callers->givenWayCount();
+    m_counters.add(EntryCounter::ConnectionsGivenWay,
+                   givenWay - std::exchange(m_countedGivenWay, givenWay));
     m_counters.add(EntryCounter::ConnectionsOpened,
                    opened - std::exchange(m_countedConnections, opened));
 }
--- a/src/libbulrushio/connection/callerconnection.cpp
+++ b/src/libbulrushio/connection/callerconnection.cpp
@@ -1,6 +1,7 @@
 #include "connection/callerconnection.h"
 
 #include "connection/httpstatus.h"
+#include "process/hostclock.h"
 
 #include <asio/post.hpp>
 
@@ -86,6 +87,7 @@
     m_server = registry->server();
     m_bufferedBodyLimit = registry->bufferedBodyLimit();
     m_bodyMemory = registry->newBodyMemory();
+    m_waitingSince = hostNow();
     registry->add(this);
 }
 
@@ -149,6 +151,7 @@
 void CallerConnection::endExchange()
 {
     --m_openExchanges;
+    m_waitingSince = hostNow();
 }
 
 bool CallerConnection::decideClose(int number, bool isCloseRequested)
@@ -172,6 +175,11 @@
     return m_acceptsRequests && isOpen();
 }
 
+std::optional<Instant> CallerConnection::waitingSince() const
+{
+    return m_openExchanges > 0 || m_isClosed ? std::nullopt : std::optional{m_waitingSince};
+}
+
 void CallerConnection::closeIfIdle()
 {
     asio::error_code unknown;
@@ -298,11 +306,41 @@
     return MemoryHolder{m_memory, MemoryUse::Request};
 }
 
+void CallerRegistry::setPlaces(std::size_t places)
+{
+    m_places = places;
+}
+
 void CallerRegistry::add(CallerConnection *connection)
 {
+    if (m_connections.size() >= m_places)
+        makePlace();
     m_connections.push_back(connection);
 }
 
+/**
+ * Closes the connection that has waited longest without an open request. Bytes that arrive do not
+ * count: a caller that sends its request slowly gives way before one that was just answered.
+ */
+void CallerRegistry::makePlace()
+{
+    CallerConnection *longest = nullptr;
+    for (CallerConnection *connection : m_connections) {
+        const std::optional<Instant> since = connection->waitingSince();
+        if (since && (!longest || *since < *longest->waitingSince()))
+            longest = connection;
+    }
+    if (!longest)
+        return;
+    ++m_givenWayCount;
+    longest->close();
+}
+
+std::uint64_t CallerRegistry::givenWayCount() const
+{
+    return m_givenWayCount;
+}
+
 void CallerRegistry::remove(CallerConnection *connection)
 {
     std::erase(m_connections, connection);
--- a/src/libbulrushio/connection/callerconnection.h
+++ b/src/libbulrushio/connection/callerconnection.h
@@ -2,12 +2,14 @@
 
 #include "admission/memoryholder.h"
 #include "connection/callerlink.h"
+#include "process/clock.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -101,6 +103,9 @@
     /** \returns whether further requests are accepted. */
     bool acceptsRequests() const;
 
+    /** \returns since when no request of the caller is open; nothing while one is. */
+    std::optional<Instant> waitingSince() const;
+
     /** Closes the connection if no request is open or being received. */
     void closeIfIdle();
 
@@ -150,6 +155,8 @@
     std::optional<int> m_refusal;
     std::size_t m_unhandledBytes = 0;
     std::size_t m_discardedBytes = 0;
+    /** When the last open request ended; at first, when the connection was made. */
+    Instant m_waitingSince;
     int m_openExchanges = 0;
     int m_exchanges = 0;
     bool m_hasReadFailed = false;
@@ -175,12 +182,21 @@
     void setMemory(std::shared_ptr<MemoryAccount> memory);
     MemoryHolder newBodyMemory() const;
 
+    /**
+     * Sets the number of connections above which each new one takes the place of the one that has
+     * waited longest without an open request, if there is one.
+     */
+    void setPlaces(std::size_t places);
+
     void add(CallerConnection *connection);
     void remove(CallerConnection *connection);
 
     /** \returns the number of open connections. */
     std::size_t count() const;
 
+    /** \returns how many connections were closed to make place for others. */
+    std::uint64_t givenWayCount() const;
+
     /** From now on, each answer closes its connection, unless a later request has arrived on it. */
     void drain();
 
@@ -193,8 +209,12 @@
     bool isDraining() const;
 
 private:
+    void makePlace();
+
     std::weak_ptr<void> m_server;
     std::vector<CallerConnection *> m_connections;
+    std::size_t m_places = std::numeric_limits<std::size_t>::max();
+    std::uint64_t m_givenWayCount = 0;
     std::uint64_t m_bufferedBodyLimit = 0;
     std::shared_ptr<MemoryAccount> m_memory;
     bool m_isDraining = false;
--- a/src/libbulrushio/connection/callerserver.cpp
+++ b/src/libbulrushio/connection/callerserver.cpp
@@ -50,6 +50,11 @@
 constexpr std::size_t maxPipelinedRequests = 16;
 constexpr std::size_t readBufferSize = std::size_t{8} * 1024;
 constexpr std::size_t concurrentAccepts = 4;
+/**
+ * One in this many of the connections is spare, so that new ones are accepted while those that make
+ * place for them close.
+ */
+constexpr std::size_t placesPerSpareOne = 16;
 constexpr std::chrono::milliseconds maxTimerPeriod{500};
 constexpr std::chrono::milliseconds minTimerPeriod{5};
 
@@ -428,6 +433,8 @@
     m_registry->setServer(m_server);
     m_registry->setBufferedBodyLimit(m_settings.bufferedBodyLimit);
     m_registry->setMemory(m_settings.memory);
+    m_registry->setPlaces(m_settings.connectionLimit
+                          - m_settings.connectionLimit / placesPerSpareOne);
 }
 
 std::error_code CallerServer::Impl::listen()
@@ -578,6 +585,11 @@
     m_impl->m_registry->closeIdle();
 }
 
+std::uint64_t CallerServer::givenWayCount() const
+{
+    return m_impl->m_registry->givenWayCount();
+}
+
 std::size_t CallerServer::connectionCount() const
 {
     return m_impl->m_registry->count();
--- a/src/libbulrushio/connection/callerserver.h
+++ b/src/libbulrushio/connection/callerserver.h
@@ -27,7 +27,11 @@
     std::uint16_t port = 0;
     /** Allows several servers to listen on the port, one per traffic thread. */
     bool isPortShared = false;
-    /** Maximum number of open connections; further callers wait in the host's accept queue. */
+    /**
+     * Maximum number of open connections; further callers wait in the host's accept queue. Once
+     * most places are taken, a new connection takes that of the one that has waited longest without
+     * an open request.
+     */
     std::size_t connectionLimit = 1024;
     /** Time-out for receiving a request, from the previous answer to the end of a buffered body. */
     Duration requestReadTimeout = std::chrono::seconds{10};
@@ -91,6 +95,9 @@
     /** \returns the number of open connections. */
     std::size_t connectionCount() const;
 
+    /** \returns how many connections were closed to make place for others. */
+    std::uint64_t givenWayCount() const;
+
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- a/tests/callercrowd/test_callercrowd.cpp
+++ b/tests/callercrowd/test_callercrowd.cpp
@@ -2,6 +2,8 @@
 
 #include "callercrowd/crowdfleet.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
@@ -11,6 +13,7 @@
 
 using namespace bulrush::test;
 using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
 
 namespace {
 
@@ -141,6 +144,20 @@
     }
 }
 
+// Callers that hold all places, idle or in the middle of a request, kept ordinary ones out.
+BOOST_DATA_TEST_CASE_F(CrowdFleet, callersWhoHoldAllPlacesGiveWay,
+                       data::make({"", "GET /read/1 HTTP/1.1\r\nHost: shop",
+                                   "POST /pay/x HTTP/1.1\r\n"
+                                   "Host: shop.example\r\nContent-Length: 9\r\n\r\nshort"}),
+                       beginning)
+{
+    gather(1'200, [&](RawConnection &caller, int) { caller.send(beginning); });
+    // An ordinary caller waits for as long as its request says.
+    const SyncHttpResult ordinary = send("a1", "POST", "/pay/x");
+    BOOST_TEST(ordinary.status == 200);
+    checkAndDisperse();
+}
+
 // What the account of memory must not prevent: the largest legal body, alone.
 BOOST_FIXTURE_TEST_CASE(largestBodyIsServedInCalm, CrowdFleet)
 {
