--- a/src/libbulrushio/connection/callerconnection.cpp
+++ b/src/libbulrushio/connection/callerconnection.cpp
@@ -22,7 +22,7 @@
 constexpr int badRequest = 400;
 constexpr int requestTimeout = 408;
 constexpr int serviceUnavailable = 503;
-/** What holds the memory is served, or ends by its time-out, within seconds. */
+/** Pause that a caller is asked for whose body found no room in memory. */
 constexpr std::string_view retryAfterSeconds = "1";
 constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
