Resume the planner's lease of an earlier run of the same host at once

Change: a daemon that finds the lease in the name of the run that its own host's row names takes it at once, as that run has ended. The row says so (`resumed`) until the first renewal, and such a row is not resumed again: a planner that ends each time right after its start is still replaced. The lease only prevents contention; commits stay conditional on its row.

--- a/src/libbulrush/process/keycoordinator.cpp
+++ b/src/libbulrush/process/keycoordinator.cpp
@@ -61,6 +61,8 @@
     if (host != m_self.host || m_isRegistering)
         return;
     const bool isOwn = row && row->incarnation == m_self.incarnation;
+    if (row && !isOwn)
+        m_lease.recordEarlierRun(row->incarnation);
     m_ownVersion = isOwn ? version : StoreVersion{};
 }
 
--- a/src/libbulrush/process/plannerlease.cpp
+++ b/src/libbulrush/process/plannerlease.cpp
@@ -70,7 +70,7 @@
 {
     if (!m_isRowKnown || m_pending || now < m_retryAt || !isDue(now))
         return std::nullopt;
-    PlannerRow next{m_self, m_address, m_row.renewals + 1, m_version.era};
+    PlannerRow next{m_self, m_address, m_row.renewals + 1, m_version.era, mayResume()};
     if (isGivingUp())
         next.holder = {};
     m_pending = PlannerRowWrite{m_version.number, next};
@@ -94,11 +94,17 @@
         && now - *m_renewedAt < leaseDuration;
 }
 
+/** \returns whether the row names an earlier run of this host, whose lease may be resumed. */
+bool PlannerLease::mayResume() const
+{
+    return !m_row.holder.isEmpty() && m_row.holder == m_earlierRun && !m_row.isResumed;
+}
+
 bool PlannerLease::isDue(Instant now) const
 {
     if (isGivingUp())
         return m_row.holder == m_self;
-    if (m_isReclaiming)
+    if (m_isReclaiming || mayResume())
         return true;
     if (m_row.holder == m_self)
         return now - m_changedAt >= renewalInterval;
--- a/src/libbulrush/process/plannerlease.h
+++ b/src/libbulrush/process/plannerlease.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 
 namespace bulrush {
 
@@ -21,6 +22,8 @@
     std::uint64_t renewals = 0;
     /** The store's era that the writer knew. */
     std::uint64_t era = 0;
+    /** The holder resumed the lease of an earlier run of its host, and has not renewed it since. */
+    bool isResumed = false;
 
     bool operator==(const PlannerRow &) const = default;
 };
@@ -48,6 +51,10 @@
  * comes from the commits, which are conditional on the version of this row: a planner that has lost
  * the lease cannot commit.
  *
+ * A daemon that starts again on the holder's host resumes the lease at once, as the earlier run has
+ * ended. A run that ends before its first renewal does not pass the lease on in this way, so that a
+ * planner that fails at once, again and again, is replaced by another daemon.
+ *
  * A row that the store restored from an older copy names an earlier holder or an earlier renewal.
  * The last holder then claims the lease at once, so that others need not wait for the takeover
  * timeout.
@@ -76,6 +83,9 @@
     /** Applies the row as of \a version; 0 and an empty row mean that there is none. */
     void applyRow(const StoreVersion &version, const PlannerRow &row, Instant now);
 
+    /** Records that \a run, an earlier one of this daemon's host, has ended. */
+    void recordEarlierRun(Incarnation run);
+
     /** Handles the result of the write that advance() returned. */
     void handleWriteResult(RowWriteResult result, const StoreVersion &version, Instant now);
 
@@ -106,9 +116,12 @@
 private:
     bool isGivingUp() const;
     bool isOutdatedCopy(const StoreVersion &version, const PlannerRow &row) const;
+    bool mayResume() const;
     bool isDue(Instant now) const;
 
     Incarnation m_self;
+    /** Empty if none is known. */
+    Incarnation m_earlierRun;
     Endpoint m_address;
     Duration m_takeoverDelay;
     bool m_isRowKnown = false;
@@ -127,6 +140,11 @@
     bool m_isYielding = false;
 };
 
+inline void PlannerLease::recordEarlierRun(Incarnation run)
+{
+    m_earlierRun = std::move(run);
+}
+
 inline void PlannerLease::resign()
 {
     m_isResigning = true;
--- a/src/libbulrushio/version/keyassignmentcodec.cpp
+++ b/src/libbulrushio/version/keyassignmentcodec.cpp
@@ -136,6 +136,8 @@
     json["address"] = toString(row.address);
     json["renewals"] = Json::UInt64{row.renewals};
     json["era"] = Json::UInt64{row.era};
+    if (row.isResumed)
+        json["resumed"] = true;
     return toCompactJson(json);
 }
 
@@ -149,6 +151,8 @@
     // Daemons before eras were known wrote none.
     if (reader.isValid() && json.isMember("era"))
         row.era = reader.number("era");
+    if (reader.isValid() && json.isMember("resumed"))
+        row.isResumed = reader.flag("resumed");
     const std::optional<Endpoint> address =
         endpoint(PortZero::Refused).parse(reader.text("address"));
     if (!reader.isValid() || !address)
--- a/tests/keydecisions/test_daemonrows.cpp
+++ b/tests/keydecisions/test_daemonrows.cpp
@@ -150,6 +150,22 @@
     BOOST_TEST(write->expectedVersion == 0U);
 }
 
+// Guards against seconds without a planner after all daemons ended at once.
+BOOST_FIXTURE_TEST_CASE(resumesPlanningOfTheEarlierRunOfItsHost, Fixture)
+{
+    const Incarnation earlierRun{"self/0"};
+    coordinator.applyPlannerRow(versionAt(30), {earlierRun, {"10.0.0.1", 80}, 4}, now);
+    coordinator.applyDaemonRow(self, versionAt(20), DaemonRow{earlierRun, {"10.0.0.1", 80}}, now);
+    coordinator.markRowsApplied(versionAt(rowsVersion), now);
+    const std::vector<KeyAction> actions = advance(100ms);
+    BOOST_TEST(std::ranges::any_of(actions, [](const KeyAction &action) {
+        return std::holds_alternative<WritePlannerRow>(action);
+    }));
+    coordinator.handlePlannerRowResult(RowWriteResult::Done, versionAt(rowsVersion + 1), now);
+    advance(100ms);
+    BOOST_TEST(coordinator.isPlanning());
+}
+
 BOOST_FIXTURE_TEST_CASE(backsOffWhenTheRowCannotBeWritten, Fixture)
 {
     applyRows();
--- a/tests/keydecisions/test_keycodecs.cpp
+++ b/tests/keydecisions/test_keycodecs.cpp
@@ -57,6 +57,10 @@
     const std::string plannerText = io::encodePlannerRow(planner);
     BOOST_TEST((io::decodePlannerRow(plannerText) == planner));
     checkPrefixes(plannerText, io::decodePlannerRow);
+    const PlannerRow resumed{Incarnation{"a/2"}, {"10.0.0.1", 7200}, 13, 2, true};
+    const std::string resumedText = io::encodePlannerRow(resumed);
+    BOOST_TEST((io::decodePlannerRow(resumedText) == resumed));
+    checkPrefixes(resumedText, io::decodePlannerRow);
     const DaemonRow daemon{Incarnation{"a/1"}, {"10.0.0.1", 7200}, DomainName{"a"}, 0.5};
     const std::string daemonText = io::encodeDaemonRow(daemon);
     BOOST_TEST((io::decodeDaemonRow(daemonText) == daemon));
--- a/tests/keydecisions/test_plannerlease.cpp
+++ b/tests/keydecisions/test_plannerlease.cpp
@@ -16,6 +16,7 @@
 const Instant start{100s};
 const Incarnation self{"me"};
 const Incarnation other{"other"};
+const Incarnation earlierRun{"earlier run"};
 const Endpoint address{"10.0.0.1", 80};
 constexpr Duration takeoverDelay = 100ms;
 
@@ -164,6 +165,60 @@
     BOOST_TEST(!lease.advance(start + 30s).has_value());
 }
 
+BOOST_FIXTURE_TEST_CASE(resumesTheLeaseOfAnEarlierRunAtOnce, Fixture)
+{
+    lease.applyRow(versionAt(5), {earlierRun, address, 7}, start);
+    BOOST_TEST(!lease.advance(start).has_value());
+    lease.recordEarlierRun(earlierRun);
+    const auto write = lease.advance(start);
+    BOOST_REQUIRE(write.has_value());
+    BOOST_TEST(write->expectedVersion == 5U);
+    BOOST_TEST((write->row == PlannerRow{self, address, 8, 0, true}));
+    lease.handleWriteResult(RowWriteResult::Done, versionAt(6), start + 5ms);
+    BOOST_TEST(lease.isHeld(start + 5ms));
+    const auto renewal = lease.advance(start + 5ms + PlannerLease::renewalInterval);
+    BOOST_REQUIRE(renewal.has_value());
+    BOOST_TEST(!renewal->row.isResumed);
+}
+
+BOOST_FIXTURE_TEST_CASE(runThatEndedBeforeItsFirstRenewalIsNotResumed, Fixture)
+{
+    lease.recordEarlierRun(earlierRun);
+    lease.applyRow(versionAt(5), {earlierRun, address, 7, 0, true}, start);
+    const Duration timeout = PlannerLease::takeoverTimeout + takeoverDelay;
+    BOOST_TEST(!lease.advance(start + timeout - 1ms).has_value());
+    const auto write = lease.advance(start + timeout);
+    BOOST_REQUIRE(write.has_value());
+    BOOST_TEST(!write->row.isResumed);
+}
+
+BOOST_FIXTURE_TEST_CASE(leaseOfAnotherHostIsNotResumed, Fixture)
+{
+    lease.recordEarlierRun(earlierRun);
+    lease.applyRow(versionAt(5), {other, address, 7}, start);
+    BOOST_TEST(!lease.advance(start + PlannerLease::takeoverTimeout).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(resumesALateRenewalOfTheEarlierRun, Fixture)
+{
+    lease.recordEarlierRun(earlierRun);
+    lease.applyRow(versionAt(5), {earlierRun, address, 7}, start);
+    BOOST_REQUIRE(lease.advance(start).has_value());
+    lease.handleWriteResult(RowWriteResult::Refused, versionAt(0), start + 5ms);
+    lease.applyRow(versionAt(6), {earlierRun, address, 8}, start + 10ms);
+    const auto write = lease.advance(start + 5ms + PlannerLease::retryInterval);
+    BOOST_REQUIRE(write.has_value());
+    BOOST_TEST(write->expectedVersion == 6U);
+}
+
+BOOST_FIXTURE_TEST_CASE(doesNotResumeTheLeaseWhileOthersShouldPlan, Fixture)
+{
+    lease.recordEarlierRun(earlierRun);
+    lease.setYielding(true);
+    lease.applyRow(versionAt(5), {earlierRun, address, 7}, start);
+    BOOST_TEST(!lease.advance(start + 30s).has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(lastHolderClaimsTheLeaseOfARestoredStoreAtOnce, Fixture)
 {
     takeLease(start);
