Evict stalled bodies and answers where memory is missing

Callers saw: a crowd of bodies that stop one byte short of their end, or of answers that nobody reads, held all memory for requests until their time-outs (15 s to 30 s); ordinary callers with large bodies were refused meanwhile, and answers that found no room were dropped.

Cause: nobody gave way for memory; the time-outs start again with each byte.

Change: `TransferWatch` (admission/, no network, no clock) reads the progress of transfers while more than half of the memory is held. Where room is missing, the account evicts the longest stalled ones: bodies, whose requests have not run, for all; answers only for answers, after all bodies. A request that waits for its server, or behind an earlier request of its connection, never counts as stalled; nor does anybody while there is room. Progress of answers is what the caller's host has acknowledged. The evictions of connections use the same word now (was "place" and "give way"); the metric's name stays.

Evidence: `stalledLargeBodiesGiveWay`, `stalledBufferedBodiesGiveWay` and `stalledAnswersGiveWay` (test_callercrowd) fail on the code before, as nobody is evicted, and pass now; the ten older cases pass, their crowds and bounds unchanged.

--- a/src/libbulrush/admission/memoryaccount.cpp
+++ b/src/libbulrush/admission/memoryaccount.cpp
@@ -1,5 +1,7 @@
 #include "admission/memoryaccount.h"
 
+#include "admission/memoryholder.h"
+
 #include <algorithm>
 
 namespace bulrush {
@@ -8,19 +10,49 @@
     : m_capacity(hostBytes - std::min(hostBytes, std::max(minReserve, hostBytes / reserveDivisor)))
 { }
 
-bool MemoryAccount::take(MemoryUse use, std::uint64_t heldBytes, std::uint64_t moreBytes)
+bool MemoryAccount::take(const MemoryHolder &holder, std::uint64_t moreBytes)
 {
-    const std::uint64_t limit = limitFor(use, heldBytes + moreBytes);
-    std::uint64_t held = m_held;
-    do {
-        if (moreBytes > limit || held > limit - moreBytes) {
-            ++(use == MemoryUse::Request ? m_refusedRequests : m_refusedAnswers);
-            return false;
-        }
-    } while (!m_held.compare_exchange_weak(held, held + moreBytes));
+    const std::uint64_t limit = limitFor(holder.use(), holder.bytes() + moreBytes);
+    if (!hasRoom(limit, moreBytes))
+        makeRoom(holder, limit, moreBytes);
+    if (!hasRoom(limit, moreBytes)) {
+        ++(holder.use() == MemoryUse::Request ? m_refusedRequests : m_refusedAnswers);
+        return false;
+    }
+    m_held += moreBytes;
     return true;
 }
 
+bool MemoryAccount::hasRoom(std::uint64_t limit, std::uint64_t bytes) const
+{
+    return bytes <= limit && m_held <= limit - bytes;
+}
+
+/** Lets stalled holders give way until \a bytes have room for \a taker, or none is left. */
+void MemoryAccount::makeRoom(const MemoryHolder &taker, std::uint64_t limit, std::uint64_t bytes)
+{
+    const auto longestStalled = [&](MemoryUse use) {
+        return m_transfers.longestStalled([&](const MemoryHolder &holder) {
+            return holder.use() == use && holder.bytes() > 0 && &holder != &taker;
+        });
+    };
+    while (!hasRoom(limit, bytes)) {
+        MemoryHolder *holder = longestStalled(MemoryUse::Request);
+        if (!holder && taker.use() == MemoryUse::Answer)
+            holder = longestStalled(MemoryUse::Answer);
+        if (!holder)
+            return;
+        ++m_evictionCount;
+        holder->evict();
+    }
+}
+
+void MemoryAccount::updateTransfers(Instant now)
+{
+    if (m_held >= m_capacity / watchDivisor)
+        m_transfers.update(now);
+}
+
 void MemoryAccount::giveBack(std::uint64_t bytes)
 {
     m_held -= bytes;
--- a/src/libbulrush/admission/memoryaccount.h
+++ b/src/libbulrush/admission/memoryaccount.h
@@ -1,10 +1,15 @@
 #pragma once
 
+#include "admission/transferwatch.h"
+#include "process/clock.h"
+
 #include <atomic>
 #include <cstdint>
 
 namespace bulrush {
 
+class MemoryHolder;
+
 /** What memory is held for. */
 enum class MemoryUse {
     Request, ///< the body of a request
@@ -17,7 +22,11 @@
  * room. Requests can't take the share of answers, as an answer that finds no room is lost; large
  * holders can't take the share of small ones, so that a crowd of large ones leaves these served.
  *
- * Thread safe.
+ * Where room is missing, holders whose transfers are stalled give way. A request makes only other
+ * requests give way, as they have not run; an answer also makes answers, but requests first.
+ *
+ * Holders are used on one thread, which also calls updateTransfers(); all figures may be read on
+ * any thread.
  */
 class MemoryAccount
 {
@@ -40,14 +49,20 @@
     MemoryAccount &operator=(const MemoryAccount &) = delete;
 
     /**
-     * Takes \a moreBytes for a holder that has \a heldBytes. \returns whether there was room;
+     * Takes \a moreBytes for \a holder, beside what it has. \returns whether there was room;
      * otherwise nothing is taken.
      */
-    bool take(MemoryUse use, std::uint64_t heldBytes, std::uint64_t moreBytes);
+    bool take(const MemoryHolder &holder, std::uint64_t moreBytes);
 
     /** Gives \a bytes back. \pre they were taken */
     void giveBack(std::uint64_t bytes);
 
+    /** \returns the watch of the holders' transfers. */
+    TransferWatch &transfers();
+
+    /** Reads the progress of transfers, if memory may run short soon. */
+    void updateTransfers(Instant now);
+
     /** \returns the bytes that are held. */
     std::uint64_t held() const;
 
@@ -57,15 +72,35 @@
     /** \returns how often there was no room for \a use. */
     std::uint64_t refusals(MemoryUse use) const;
 
+    /** \returns how many holders gave way to others. */
+    std::uint64_t evictionCount() const;
+
 private:
+    /** Transfers are watched from half of the capacity on. */
+    static constexpr std::uint64_t watchDivisor = 2;
+
     std::uint64_t limitFor(MemoryUse use, std::uint64_t bytes) const;
+    bool hasRoom(std::uint64_t limit, std::uint64_t bytes) const;
+    void makeRoom(const MemoryHolder &taker, std::uint64_t limit, std::uint64_t bytes);
 
     std::uint64_t m_capacity;
     std::atomic<std::uint64_t> m_held{0};
     std::atomic<std::uint64_t> m_refusedRequests{0};
     std::atomic<std::uint64_t> m_refusedAnswers{0};
+    std::atomic<std::uint64_t> m_evictionCount{0};
+    TransferWatch m_transfers;
 };
 
+inline TransferWatch &MemoryAccount::transfers()
+{
+    return m_transfers;
+}
+
+inline std::uint64_t MemoryAccount::evictionCount() const
+{
+    return m_evictionCount;
+}
+
 inline std::uint64_t MemoryAccount::held() const
 {
     return m_held;
--- a/src/libbulrush/admission/memoryholder.h
+++ b/src/libbulrush/admission/memoryholder.h
@@ -27,15 +27,34 @@
     /** Holds at least \a bytes. \returns false if there is no room, and nothing was changed. */
     bool growTo(std::uint64_t bytes);
 
+    /** Sets the transfer for which the bytes are held; without an account, it has no effect. */
+    void setTransfer(Transfer transfer);
+
+    /** Records that no transfer needs the bytes any more. */
+    void clearTransfer();
+
+    /** Gives the bytes back, and ends the transfer. \pre a transfer is set */
+    void evict();
+
+    /** \returns what the bytes are held for. */
+    MemoryUse use() const;
+
     /** \returns the bytes that are held. */
     std::uint64_t bytes() const;
 
 private:
+    void release();
+
     std::shared_ptr<MemoryAccount> m_account;
     MemoryUse m_use = MemoryUse::Request;
     std::uint64_t m_bytes = 0;
 };
 
+inline MemoryUse MemoryHolder::use() const
+{
+    return m_use;
+}
+
 inline std::uint64_t MemoryHolder::bytes() const
 {
     return m_bytes;
--- a/src/libbulrushentry/entrycounters.cpp
+++ b/src/libbulrushentry/entrycounters.cpp
@@ -49,6 +49,7 @@
     "slow_start_steps_back",
     "requests_without_room",
     "connections_given_way",
+    "transfers_evicted",
     "answers_without_room",
 };
 
--- a/src/libbulrushentry/entrycounters.h
+++ b/src/libbulrushentry/entrycounters.h
@@ -54,6 +54,7 @@
     SlowStartStepsBack,  ///< reductions of a window in slow starts that have ended
     RequestsWithoutRoom, ///< requests that were refused as there is no memory for their body
     ConnectionsGivenWay, ///< callers' connections that were closed to make place for others
+    TransfersEvicted,    ///< stalled bodies and answers that were ended to make room for others
     AnswersWithoutRoom,  ///< answers of servers that were dropped for that reason
     Count,               ///< number of counters
 };
--- a/src/libbulrushentry/forwardcontext.cpp
+++ b/src/libbulrushentry/forwardcontext.cpp
@@ -640,13 +640,17 @@
     const std::uint64_t newRequests =
         requests - std::exchange(m_reportedRequestsWithoutRoom, requests);
     const std::uint64_t newAnswers = answers - std::exchange(m_reportedAnswersWithoutRoom, answers);
-    if (newRequests + newAnswers == 0)
+    const std::uint64_t evictions = memory->evictionCount();
+    const std::uint64_t newEvictions = evictions - std::exchange(m_reportedEvictions, evictions);
+    if (newRequests + newAnswers + newEvictions == 0)
         return;
     counters.add(EntryCounter::RequestsWithoutRoom, newRequests);
     counters.add(EntryCounter::AnswersWithoutRoom, newAnswers);
+    counters.add(EntryCounter::TransfersEvicted, newEvictions);
     io::logEvent(LogLevel::Warning, "memory-full",
                  {{"requests-refused", std::to_string(newRequests)},
                   {"answers-dropped", std::to_string(newAnswers)},
+                  {"transfers-ended", std::to_string(newEvictions)},
                   {"held-bytes", std::to_string(memory->held())},
                   {"capacity-bytes", std::to_string(memory->capacity())}});
 }
--- a/src/libbulrushentry/forwardcontext.h
+++ b/src/libbulrushentry/forwardcontext.h
@@ -197,7 +197,8 @@
     /** Logs and counts the slow starts that began or ended since the last call. */
     void reportPaceChanges();
 
-    /** Counts and logs what found no room in the account of memory since the last call. */
+    /** Counts and logs what found no room in memory, or was evicted from it, since the last call.
+     */
     void reportMemory();
 
     /** Logs fields of a server's answer that this daemon does not know, each name once. */
@@ -238,6 +239,7 @@
     ConfigBudget m_configBudget;
     std::uint64_t m_reportedRequestsWithoutRoom = 0;
     std::uint64_t m_reportedAnswersWithoutRoom = 0;
+    std::uint64_t m_reportedEvictions = 0;
     /** The last instant at which the store was confirmed to hold no later configuration. */
     Instant m_configConfirmedAt;
     Instant m_leavingReportedAt;
--- a/src/libbulrushentry/forwardworker.cpp
+++ b/src/libbulrushentry/forwardworker.cpp
@@ -244,11 +244,12 @@
     m_context.probeServers(now);
     m_context.reportPaceChanges();
     m_isCutOff = m_context.isCutOff(now);
+    m_context.memory->updateTransfers(now);
     m_context.reportMemory();
     const std::uint64_t opened = m_context.servers.openedConnectionCount();
-    const std::uint64_t givenWay = m_callers->givenWayCount();
+    const std::uint64_t evictions = m_callers->evictionCount();
     m_counters.add(EntryCounter::ConnectionsGivenWay,
-                   givenWay - std::exchange(m_countedGivenWay, givenWay));
+                   evictions - std::exchange(m_countedEvictions, evictions));
     m_counters.add(EntryCounter::ConnectionsOpened,
                    opened - std::exchange(m_countedConnections, opened));
 }
--- a/src/libbulrushentry/forwardworker.h
+++ b/src/libbulrushentry/forwardworker.h
@@ -158,7 +158,7 @@
     std::atomic<std::size_t> m_connectionCount{0};
     std::atomic<bool> m_isCutOff{false};
     std::uint64_t m_countedConnections = 0;
-    std::uint64_t m_countedGivenWay = 0;
+    std::uint64_t m_countedEvictions = 0;
     std::thread m_thread;
 };
 
--- a/src/libbulrushio/connection/callerconnection.cpp
+++ b/src/libbulrushio/connection/callerconnection.cpp
@@ -1,5 +1,6 @@
 #include "connection/callerconnection.h"
 
+#include "connection/acknowledgedbytes.h"
 #include "connection/httpstatus.h"
 #include "process/hostclock.h"
 
@@ -98,15 +99,43 @@
 
 bool CallerConnection::reserveBody(std::uint64_t length)
 {
-    return m_bodyMemory.growTo(length);
+    const bool isFirst = m_bodyMemory.bytes() == 0;
+    if (!m_bodyMemory.growTo(length))
+        return false;
+    if (isFirst)
+        m_bodyMemory.setTransfer(bodyTransfer());
+    return true;
 }
 
 MemoryHolder CallerConnection::takeBodyMemory()
 {
+    m_bodyMemory.clearTransfer();
     const auto registry = m_registry.lock();
     return std::exchange(m_bodyMemory, registry ? registry->newBodyMemory() : MemoryHolder{});
 }
 
+/** \returns the transfer of a buffered body. This object outlives it, as it holds the memory. */
+Transfer CallerConnection::bodyTransfer()
+{
+    // While an earlier request is open, a close would cut off its answer.
+    return {[this] { return m_openExchanges > 0 ? std::nullopt : std::optional{m_unhandledBytes}; },
+            [this] {
+                close();
+            }};
+}
+
+Transfer CallerConnection::answerTransfer()
+{
+    return {[weak = weak_from_this()]() -> std::optional<std::uint64_t> {
+                const auto self = weak.lock();
+                return self ? acknowledgedBytes(self->m_socket.native_handle()) : std::nullopt;
+            },
+            [weak = weak_from_this()] {
+                if (const auto self = weak.lock())
+                    self->closeNow();
+            }};
+}
+
 void CallerConnection::recordRead(std::error_code error, std::size_t length)
 {
     m_unhandledBytes += length;
@@ -306,15 +335,15 @@
     return MemoryHolder{m_memory, MemoryUse::Request};
 }
 
-void CallerRegistry::setPlaces(std::size_t places)
+void CallerRegistry::setEvictionThreshold(std::size_t count)
 {
-    m_places = places;
+    m_evictionThreshold = count;
 }
 
 void CallerRegistry::add(CallerConnection *connection)
 {
-    if (m_connections.size() >= m_places)
-        makePlace();
+    if (m_connections.size() >= m_evictionThreshold)
+        evictLongestIdle();
     m_connections.push_back(connection);
 }
 
@@ -322,7 +351,7 @@
  * Closes the connection that has waited longest without an open request. Bytes that arrive do not
  * count: a caller that sends its request slowly gives way before one that was just answered.
  */
-void CallerRegistry::makePlace()
+void CallerRegistry::evictLongestIdle()
 {
     CallerConnection *longest = nullptr;
     for (CallerConnection *connection : m_connections) {
@@ -332,13 +361,13 @@
     }
     if (!longest)
         return;
-    ++m_givenWayCount;
+    ++m_evictionCount;
     longest->close();
 }
 
-std::uint64_t CallerRegistry::givenWayCount() const
+std::uint64_t CallerRegistry::evictionCount() const
 {
-    return m_givenWayCount;
+    return m_evictionCount;
 }
 
 void CallerRegistry::remove(CallerConnection *connection)
--- a/src/libbulrushio/connection/callerconnection.h
+++ b/src/libbulrushio/connection/callerconnection.h
@@ -63,6 +63,9 @@
     /** \returns what the body that has been received holds. */
     MemoryHolder takeBodyMemory();
 
+    /** \returns the transfer of answers to the caller. It may outlive this object. */
+    Transfer answerTransfer();
+
     /** Records the result of a read of \a length bytes. */
     void recordRead(std::error_code error, std::size_t length);
 
@@ -139,6 +142,7 @@
     static CallerConnection *current();
 
 private:
+    Transfer bodyTransfer();
     std::optional<int> pendingRefusal() const;
     void notifyLinks();
     void discardIncoming();
@@ -186,7 +190,7 @@
      * Sets the number of connections above which each new one takes the place of the one that has
      * waited longest without an open request, if there is one.
      */
-    void setPlaces(std::size_t places);
+    void setEvictionThreshold(std::size_t count);
 
     void add(CallerConnection *connection);
     void remove(CallerConnection *connection);
@@ -195,7 +199,7 @@
     std::size_t count() const;
 
     /** \returns how many connections were closed to make place for others. */
-    std::uint64_t givenWayCount() const;
+    std::uint64_t evictionCount() const;
 
     /** From now on, each answer closes its connection, unless a later request has arrived on it. */
     void drain();
@@ -209,12 +213,12 @@
     bool isDraining() const;
 
 private:
-    void makePlace();
+    void evictLongestIdle();
 
     std::weak_ptr<void> m_server;
     std::vector<CallerConnection *> m_connections;
-    std::size_t m_places = std::numeric_limits<std::size_t>::max();
-    std::uint64_t m_givenWayCount = 0;
+    std::size_t m_evictionThreshold = std::numeric_limits<std::size_t>::max();
+    std::uint64_t m_evictionCount = 0;
     std::uint64_t m_bufferedBodyLimit = 0;
     std::shared_ptr<MemoryAccount> m_memory;
     bool m_isDraining = false;
--- a/src/libbulrushio/connection/callerlink.h
+++ b/src/libbulrushio/connection/callerlink.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "admission/transferwatch.h"
+
 #include <functional>
 #include <string>
 #include <system_error>
@@ -51,6 +53,12 @@
      */
     virtual bool hasCallerClosed() = 0;
 
+    /** \returns the transfer of the body that readBody() reads. */
+    virtual Transfer bodyTransfer() = 0;
+
+    /** \returns the transfer of the answer. It may outlive this object. */
+    virtual Transfer answerTransfer() = 0;
+
     /**
      * Sets the handler that is called, once, if the caller disconnects before its answer is
      * written.
--- a/src/libbulrushio/connection/callerserver.cpp
+++ b/src/libbulrushio/connection/callerserver.cpp
@@ -54,7 +54,7 @@
  * One in this many of the connections is spare, so that new ones are accepted while those that make
  * place for them close.
  */
-constexpr std::size_t placesPerSpareOne = 16;
+constexpr std::size_t spareConnectionDivisor = 16;
 constexpr std::chrono::milliseconds maxTimerPeriod{500};
 constexpr std::chrono::milliseconds minTimerPeriod{5};
 
@@ -309,6 +309,16 @@
         return m_connection->hasCallerClosed();
     }
 
+    Transfer bodyTransfer() override
+    {
+        return {}; // the body is complete
+    }
+
+    Transfer answerTransfer() override
+    {
+        return m_connection->answerTransfer();
+    }
+
     /** Sets the ordinal of the request on its connection. */
     void setNumber(int number)
     {
@@ -433,8 +443,8 @@
     m_registry->setServer(m_server);
     m_registry->setBufferedBodyLimit(m_settings.bufferedBodyLimit);
     m_registry->setMemory(m_settings.memory);
-    m_registry->setPlaces(m_settings.connectionLimit
-                          - m_settings.connectionLimit / placesPerSpareOne);
+    m_registry->setEvictionThreshold(m_settings.connectionLimit
+                                     - m_settings.connectionLimit / spareConnectionDivisor);
 }
 
 std::error_code CallerServer::Impl::listen()
@@ -585,9 +595,9 @@
     m_impl->m_registry->closeIdle();
 }
 
-std::uint64_t CallerServer::givenWayCount() const
+std::uint64_t CallerServer::evictionCount() const
 {
-    return m_impl->m_registry->givenWayCount();
+    return m_impl->m_registry->evictionCount();
 }
 
 std::size_t CallerServer::connectionCount() const
--- a/src/libbulrushio/connection/callerserver.h
+++ b/src/libbulrushio/connection/callerserver.h
@@ -96,7 +96,7 @@
     std::size_t connectionCount() const;
 
     /** \returns how many connections were closed to make place for others. */
-    std::uint64_t givenWayCount() const;
+    std::uint64_t evictionCount() const;
 
 private:
     class Impl;
--- a/src/libbulrushio/connection/httpclient.h
+++ b/src/libbulrushio/connection/httpclient.h
@@ -47,7 +47,7 @@
     std::vector<HttpHeader> headers;
     std::string body;
     /** What the body holds in the process's account of memory, if it is counted there. */
-    std::shared_ptr<const MemoryHolder> memory = nullptr;
+    std::shared_ptr<MemoryHolder> memory = nullptr;
 };
 
 /** The stage that a transfer reached; it determines whether the server may have run the request. */
--- a/src/libbulrushio/connection/incomingrequest.cpp
+++ b/src/libbulrushio/connection/incomingrequest.cpp
@@ -14,7 +14,10 @@
     , m_remoteAddress(std::move(remoteAddress))
     , m_link(std::move(link))
     , m_memory(std::move(memory))
-{ }
+{
+    if (!m_isBodyBuffered)
+        m_memory.setTransfer(m_link->bodyTransfer());
+}
 
 std::string IncomingRequest::takeBody()
 {
--- a/src/libbulrushio/connection/responsewriter.cpp
+++ b/src/libbulrushio/connection/responsewriter.cpp
@@ -131,11 +131,13 @@
 }
 
 /** Writes \a bytes, for which \a memory is held until they are written. */
-void ResponseWriter::writeLast(std::string bytes, std::shared_ptr<const MemoryHolder> memory)
+void ResponseWriter::writeLast(std::string bytes, std::shared_ptr<MemoryHolder> memory)
 {
     m_isOver = true;
     m_link->setDisconnectHandler(nullptr);
     const WritePart part = m_isKeptAlive ? WritePart::Last : WritePart::LastAndClose;
+    if (memory)
+        memory->setTransfer(m_link->answerTransfer());
     m_link->write(std::move(bytes), part, [memory = std::move(memory)](std::error_code) {});
 }
 
--- a/src/libbulrushio/connection/responsewriter.h
+++ b/src/libbulrushio/connection/responsewriter.h
@@ -64,7 +64,7 @@
 
 private:
     std::string formatHead(const ResponseHead &head);
-    void writeLast(std::string bytes, std::shared_ptr<const MemoryHolder> memory = nullptr);
+    void writeLast(std::string bytes, std::shared_ptr<MemoryHolder> memory = nullptr);
     bool isBodyless(int status) const;
 
     std::shared_ptr<CallerLink> m_link;
--- a/src/libbulrushio/connection/uploadlink.cpp
+++ b/src/libbulrushio/connection/uploadlink.cpp
@@ -22,6 +22,7 @@
     , m_readTimer(m_connection->socket().get_executor())
     , m_writeTimer(m_connection->socket().get_executor())
     , m_firstBytes(std::move(firstBytes))
+    , m_length(length)
     , m_bytesLeft(length - m_firstBytes.size())
 { }
 
@@ -71,16 +72,39 @@
     return m_connection->hasCallerClosed();
 }
 
+Transfer UploadLink::bodyTransfer()
+{
+    return {[weak = weak_from_this()]() -> std::optional<std::uint64_t> {
+                const auto self = weak.lock();
+                if (!self || !self->m_bodyHandler || self->m_bytesLeft == 0)
+                    return std::nullopt;
+                return self->m_length - self->m_bytesLeft;
+            },
+            [weak = weak_from_this()] {
+                if (const auto self = weak.lock())
+                    self->stopReading();
+            }};
+}
+
+Transfer UploadLink::answerTransfer()
+{
+    return m_connection->answerTransfer();
+}
+
+/** Ends the read with an error; the caller can still receive an answer. */
+void UploadLink::stopReading()
+{
+    asio::error_code ignored;
+    m_hasStalled = true;
+    m_connection->socket().cancel(ignored);
+}
+
 void UploadLink::readMore()
 {
     m_readTimer.expires_after(m_limits.bodyIdleTimeout);
     m_readTimer.async_wait([weak = weak_from_this()](asio::error_code error) {
-        const auto self = weak.lock();
-        if (error || !self)
-            return;
-        asio::error_code ignored;
-        self->m_hasStalled = true;
-        self->m_connection->socket().cancel(ignored);
+        if (const auto self = weak.lock(); self && !error)
+            self->stopReading();
     });
     m_buffer.resize(static_cast<std::size_t>(std::min<std::uint64_t>(maxReadBytes, m_bytesLeft)));
     m_connection->socket().async_read_some(
--- a/src/libbulrushio/connection/uploadlink.h
+++ b/src/libbulrushio/connection/uploadlink.h
@@ -43,6 +43,8 @@
     void abort() override;
     bool decideClose(bool isCloseRequested) override;
     bool hasCallerClosed() override;
+    Transfer bodyTransfer() override;
+    Transfer answerTransfer() override;
 
 private:
     struct Write
@@ -53,6 +55,7 @@
     };
 
     void readMore();
+    void stopReading();
     void handleBodyRead(std::error_code error, std::size_t length);
     void watchForClose();
     void handleDisconnect();
@@ -68,6 +71,7 @@
     asio::steady_timer m_readTimer;
     asio::steady_timer m_writeTimer;
     std::string m_firstBytes;
+    std::uint64_t m_length;
     std::uint64_t m_bytesLeft;
     std::string m_buffer;
     BodyHandler m_bodyHandler;
--- a/tests/callercrowd/crowdfleet.h
+++ b/tests/callercrowd/crowdfleet.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -30,6 +31,12 @@
     return field + head.substr(at, head.find('\r', at) - at) + "\r\n";
 }
 
+/** \returns the last field of a head, for a body of \a length. */
+inline std::string lengthField(std::size_t length)
+{
+    return "Content-Length: " + std::to_string(length) + "\r\n\r\n";
+}
+
 /** Two daemons, of which a1 meets the crowd, and servers of both services. */
 struct CrowdFleet : CheckedFleet
 {
@@ -74,6 +81,20 @@
             crowd.push_back(std::move(caller));
     }
 
+    /**
+     * Connects \a count callers that post \a body to \a path, but for \a missing bytes of it. The
+     * ids of their requests begin with \a prefix.
+     */
+    void gatherBodies(int count, const std::string &path, const std::string &prefix,
+                      std::string_view body, std::size_t missing)
+    {
+        gather(count, [&](RawConnection &caller, int number) {
+            caller.send(head("POST", path, prefix + '-' + std::to_string(number))
+                        + lengthField(body.size()));
+            caller.send(body.substr(missing));
+        });
+    }
+
     /** Checks the daemon while the crowd is there, and sends it away. */
     void checkAndDisperse()
     {
--- a/tests/callercrowd/test_callercrowd.cpp
+++ b/tests/callercrowd/test_callercrowd.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -20,11 +21,7 @@
 /** Memory that was freed may not be given back at once, so each crowd comes more than once. */
 constexpr int waveCount = 3;
 constexpr std::size_t megabyte = 1'000'000;
-
-std::string lengthField(std::size_t length)
-{
-    return "Content-Length: " + std::to_string(length) + "\r\n\r\n";
-}
+const std::string transfersEvicted = "bulrush_transfers_evicted_total";
 
 std::string chunkOf(std::string_view bytes)
 {
@@ -51,12 +48,7 @@
 {
     const std::string body(20 * megabyte, 'b');
     for (int wave = 0; wave < waveCount; ++wave) {
-        gather(8, [&](RawConnection &caller, int number) {
-            caller.send(head("POST", "/archive/x",
-                             "large" + std::to_string(wave) + '-' + std::to_string(number))
-                        + lengthField(body.size()));
-            caller.send(std::string_view{body}.substr(1));
-        });
+        gatherBodies(8, "/archive/x", "large" + std::to_string(wave), body, 1);
         checkAndDisperse();
     }
 }
@@ -66,12 +58,7 @@
 {
     const std::string body(20 * megabyte, 'b');
     for (int wave = 0; wave < waveCount; ++wave) {
-        gather(10, [&](RawConnection &caller, int number) {
-            caller.send(head("POST", "/archive/x",
-                             "whole" + std::to_string(wave) + '-' + std::to_string(number))
-                        + lengthField(body.size()));
-            caller.send(body);
-        });
+        gatherBodies(10, "/archive/x", "whole" + std::to_string(wave), body, 0);
         checkAndDisperse();
     }
 }
@@ -81,12 +68,7 @@
 {
     const std::string body(megabyte, 'b');
     for (int wave = 0; wave < waveCount; ++wave) {
-        gather(200, [&](RawConnection &caller, int number) {
-            caller.send(head("POST", "/pay/x",
-                             "buffered" + std::to_string(wave) + '-' + std::to_string(number))
-                        + lengthField(body.size()));
-            caller.send(std::string_view{body}.substr(1));
-        });
+        gatherBodies(200, "/pay/x", "buffered" + std::to_string(wave), body, 1);
         checkAndDisperse();
     }
 }
@@ -144,6 +126,49 @@
     }
 }
 
+// Room of bodies that stop short of their end was missing to others until their time-outs.
+BOOST_FIXTURE_TEST_CASE(stalledLargeBodiesGiveWay, CrowdFleet)
+{
+    const std::string body(20 * megabyte, 'b');
+    gatherBodies(8, "/archive/x", "stalled", body, 1);
+    BOOST_TEST(eventually([&] {
+        return send("a1", "POST", "/archive/x", std::nullopt, body, 15'000).status == 200;
+    }));
+    BOOST_TEST(eventually([&] { return counter("a1", transfersEvicted) > 0; }));
+    checkAndDisperse();
+}
+
+BOOST_FIXTURE_TEST_CASE(stalledBufferedBodiesGiveWay, CrowdFleet)
+{
+    const std::string body(megabyte, 'b');
+    gatherBodies(200, "/pay/x", "stalled", body, 1);
+    BOOST_TEST(
+        eventually([&] { return send("a1", "POST", "/pay/x", std::nullopt, body).status == 200; }));
+    BOOST_TEST(eventually([&] { return counter("a1", transfersEvicted) > 0; }));
+    checkAndDisperse();
+}
+
+// The same with answers that nobody reads.
+BOOST_FIXTURE_TEST_CASE(stalledAnswersGiveWay, CrowdFleet)
+{
+    const std::string body(8 * megabyte, 'a');
+    OddServer server{"127.0.0.1", [&](const std::string &head, const OddServer::Send &send) {
+                         send("HTTP/1.1 200 OK\r\n" + echoedId(head) + lengthField(body.size()));
+                         send(body);
+                     }};
+    ServerSpec spec{"o1", "odd"};
+    spec.slots = 64;
+    writeRecordOf(spec, server.address());
+    BOOST_REQUIRE(eventually([&] { return send("a1", "GET", "/odd/x").status == 200; }));
+    gather(30, [&](RawConnection &caller, int number) {
+        caller.send(head("GET", "/odd/x", "stalled" + std::to_string(number)) + "\r\n");
+    });
+    BOOST_TEST(eventually([&] {
+        return send("a1", "GET", "/odd/x").status == 200 && counter("a1", transfersEvicted) > 0;
+    }));
+    checkAndDisperse();
+}
+
 // Callers that hold all places, idle or in the middle of a request, kept ordinary ones out.
 BOOST_DATA_TEST_CASE_F(CrowdFleet, callersWhoHoldAllPlacesGiveWay,
                        data::make({"", "GET /read/1 HTTP/1.1\r\nHost: shop",
