--- a/tests/callercrowd/oddserver.cpp
+++ b/tests/callercrowd/oddserver.cpp
@@ -1,5 +1,7 @@
 #include "callercrowd/oddserver.h"
 
+#include "standinprocess/socketbytes.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -14,17 +16,6 @@
 
 namespace {
 
-bool sendAll(int socket, std::string_view bytes)
-{
-    while (!bytes.empty()) {
-        const ssize_t length = ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        if (length <= 0)
-            return false;
-        bytes.remove_prefix(static_cast<std::size_t>(length));
-    }
-    return true;
-}
-
 std::string receivedHead(int socket)
 {
     std::string head;
--- a/tests/entryfleet/test_entryshutdown.cpp
+++ b/tests/entryfleet/test_entryshutdown.cpp
@@ -57,6 +57,14 @@
     }
 };
 
+std::string uploadHead(const std::string &path, const std::string &id, int deadlineMs,
+                       std::size_t length)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Bulrushswitch-Request-Id: " + id
+        + "\r\nX-Bulrushswitch-Deadline-Ms: " + std::to_string(deadlineMs)
+        + "\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(aRequestInFlightIsAnsweredAfterSigterm, SlowFleet)
@@ -116,10 +124,7 @@
 {
     RawConnection caller{callersAddress("a1")};
     const std::string body(6 << 20, 'u');
-    caller.send("POST /upload/x HTTP/1.1\r\nHost: shop.example\r\n"
-                "X-Bulrushswitch-Request-Id: up\r\nX-Bulrushswitch-Deadline-Ms: 4500\r\n"
-                "Content-Length: "
-                + std::to_string(body.size()) + "\r\n\r\n");
+    caller.send(uploadHead("/upload/x", "up", 4500, body.size()));
     // The signal arrives in the middle of the body.
     caller.send(std::string_view{body}.substr(0, body.size() / 2));
     std::this_thread::sleep_for(200ms);
@@ -245,10 +250,7 @@
     ::kill(daemon("a1").pid(), SIGTERM);
     std::this_thread::sleep_for(500ms);
     RawConnection caller{callersAddress("a1")};
-    caller.send("POST /archive/x HTTP/1.1\r\nHost: shop.example\r\n"
-                "X-Bulrushswitch-Request-Id: late\r\nX-Bulrushswitch-Deadline-Ms: 15000\r\n"
-                "Content-Length: "
-                + std::to_string(body.size()) + "\r\n\r\n");
+    caller.send(uploadHead("/archive/x", "late", 15'000, body.size()));
     caller.send(std::string_view{body}.substr(0, body.size() / 2));
     // What its server would need ends after the daemon.
     std::this_thread::sleep_for(3900ms);
--- a/tests/standinprocess/rawconnection.cpp
+++ b/tests/standinprocess/rawconnection.cpp
@@ -1,5 +1,7 @@
 #include "standinprocess/rawconnection.h"
 
+#include "standinprocess/socketbytes.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -59,13 +61,7 @@
 
 bool RawConnection::send(std::string_view bytes)
 {
-    while (!bytes.empty()) {
-        const ssize_t length = ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        if (length <= 0)
-            return false;
-        bytes.remove_prefix(static_cast<std::size_t>(length));
-    }
-    return true;
+    return sendAll(m_socket, bytes);
 }
 
 std::string RawConnection::receiveAvailable()
