Say "evict" in the comments, too

The comments of the account of memory still said "give way" for what the code calls an eviction. Comments only; no test was run for it but the format.

--- a/src/libbulrush/admission/memoryaccount.cpp
+++ b/src/libbulrush/admission/memoryaccount.cpp
@@ -28,7 +28,7 @@
     return bytes <= limit && m_held <= limit - bytes;
 }
 
-/** Lets stalled holders give way until \a bytes have room for \a taker, or none is left. */
+/** Evicts stalled holders until \a bytes have room for \a taker, or none is left. */
 void MemoryAccount::makeRoom(const MemoryHolder &taker, std::uint64_t limit, std::uint64_t bytes)
 {
     const auto longestStalled = [&](MemoryUse use) {
--- a/src/libbulrush/admission/memoryaccount.h
+++ b/src/libbulrush/admission/memoryaccount.h
@@ -22,8 +22,8 @@
  * room. Requests can't take the share of answers, as an answer that finds no room is lost; large
  * holders can't take the share of small ones, so that a crowd of large ones leaves these served.
  *
- * Where room is missing, holders whose transfers are stalled give way. A request makes only other
- * requests give way, as they have not run; an answer also makes answers, but requests first.
+ * Where room is missing, holders whose transfers are stalled are evicted: for a request only other
+ * requests, as they have not run; for an answer requests first, and then other answers.
  *
  * Holders are used on one thread, which also calls updateTransfers(); all figures may be read on
  * any thread.
@@ -72,7 +72,7 @@
     /** \returns how often there was no room for \a use. */
     std::uint64_t refusals(MemoryUse use) const;
 
-    /** \returns how many holders gave way to others. */
+    /** \returns how many holders were evicted. */
     std::uint64_t evictionCount() const;
 
 private:
--- a/src/libbulrush/admission/transferwatch.h
+++ b/src/libbulrush/admission/transferwatch.h
@@ -21,7 +21,7 @@
 };
 
 /**
- * Finds the transfers whose peers hardly move them, so that they give way when memory runs short.
+ * Finds the transfers whose peers hardly move them, so that they can be evicted.
  * What counts is progress over a period: a peer that keeps a transfer open with a byte now and then
  * is stalled, too.
  *
@@ -30,9 +30,9 @@
 class TransferWatch
 {
 public:
-    /** A transfer that moves fewer bytes than this ... */
+    /** A transfer that moves fewer bytes than this is stalled ... */
     static constexpr std::uint64_t minProgress = std::uint64_t{64} << 10;
-    /** ... in this time is stalled. */
+    /** ... if it takes at least this time. */
     static constexpr Duration stallPeriod = std::chrono::seconds{5};
 
     /** Watches \a transfer of \a holder in place of any other one. */
