Take no part of an answer for all of it after a reset during an upload

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, with the server's stamp.

Cause: the system hands the error of a connection out once. When a write and a read wait for the connection, Asio runs the write first, which takes the ECONNRESET (or ETIMEDOUT). The read then gets an end of file, which ServerConnection took for an orderly close, and that ends a body without a length. With a reset that comes after the whole request was written, the read takes the error, and the answer was already incomplete.

Change: ServerConnection keeps the error of a failed write, and an end of file after it ends no answer, but for EPIPE. Linux reports EPIPE for a reset after the peer's FIN, and ECONNRESET for one before it, so that the order of the two is known whoever takes the error. The state of the connection (TCP_INFO) is CLOSE in both cases and does not tell them apart. Where it is not known (a time-out after a FIN) the answer is incomplete. The stage stays "sending": 502, no promise, not sent again.

--- a/src/libbulrushio/connection/serverconnection.cpp
+++ b/src/libbulrushio/connection/serverconnection.cpp
@@ -74,6 +74,7 @@
     m_head = requestHead(m_call);
     m_parser.begin(m_call.method == "HEAD");
     m_stage = TransferStage::NotConnected;
+    m_writeError = {};
     m_times = {};
     m_deadline = hostNow() + m_call.timeout;
     if (m_isConnected)
@@ -214,6 +215,7 @@
     if (m_isClosed || !m_handler)
         return;
     // After a failed write the read decides the result: the server may have answered and closed.
+    m_writeError = error;
     if (error)
         return;
     m_stage = TransferStage::Sent;
@@ -254,7 +256,7 @@
         return;
     }
     // Only an orderly close can mark the end of an answer without a length.
-    if (error == asio::error::eof)
+    if (error == asio::error::eof && !hasConnectionFailed())
         m_parser.finish();
     if (m_parser.isComplete()) {
         if (!handleAnswer(false))
@@ -268,6 +270,16 @@
                                      : TransportError::ConnectionLost);
 }
 
+/**
+ * \returns whether the connection was reset or timed out before the server closed it. The system
+ * reports an error of a connection once only: if the write takes it, the read sees an end of file.
+ * A broken pipe is the error of a write after the server's orderly close.
+ */
+bool ServerConnection::hasConnectionFailed() const
+{
+    return m_writeError && m_writeError != asio::error::broken_pipe;
+}
+
 /** Fails the current call or connection attempt at \a deadline. */
 void ServerConnection::startTimer(Instant deadline)
 {
--- a/src/libbulrushio/connection/serverconnection.h
+++ b/src/libbulrushio/connection/serverconnection.h
@@ -104,6 +104,7 @@
     void handleWritten(std::error_code error);
     void read();
     void handleRead(std::error_code error, std::size_t length);
+    bool hasConnectionFailed() const;
     void startTimer(Instant deadline);
     void stopTimer();
     void extendDeadline(Instant deadline);
@@ -128,6 +129,8 @@
     ServerCallHandler m_handler;
     OpenHandler m_openHandler;
     std::string m_head;
+    /** Why the write of the current call failed, if it did. */
+    std::error_code m_writeError;
     std::array<char, 4096> m_buffer{};
     TransferStage m_stage = TransferStage::NotConnected;
     Instant m_idleUntil;
--- /dev/null
+++ b/tests/entryfleet/test_entrybrokenanswers.cpp
@@ -0,0 +1,84 @@
+#define BOOST_TEST_MODULE EntryBrokenAnswers
+
+#include "entryfleet/scriptedfleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace bulrush::test;
+using namespace std::chrono_literals;
+
+using Socket = ScriptedServer::Socket;
+
+namespace {
+
+constexpr int badGateway = 502;
+const std::string stampField = "X-Bulrushswitch-Response-Stamp";
+/** Far more than the buffers of both sockets hold, so that it is never sent whole. */
+constexpr std::size_t longBodyBytes = std::size_t{24} << 20;
+constexpr int serverReceiveBufferBytes = 16 * 1024;
+
+/** \returns the fields of an answer to the request with \a head that make it one of its server. */
+std::string ownFields(const std::string &head)
+{
+    return "X-Bulrushswitch-Request-Id: " + idOf(head) + "\r\n" + stampField + ": s\r\n";
+}
+
+std::string soundAnswerTo(const std::string &head)
+{
+    return "HTTP/1.1 200 OK\r\n" + ownFields(head) + "Content-Length: 5\r\n\r\nsound";
+}
+
+bool isUpload(const std::string &head)
+{
+    return head.starts_with("POST /upload/");
+}
+
+/** Waits until the server is used again, which a daemon suspects after broken answers. */
+void waitUntilUsed(EntryFleet &fleet)
+{
+    BOOST_REQUIRE(
+        EntryFleet::eventually([&] { return fleet.send("a1", "GET", "/pay/x").status == 200; }));
+}
+
+/** Checks that \a result promises nothing and has nothing of the server's answer. */
+void expectBadGateway(const SyncHttpResult &result)
+{
+    BOOST_TEST(result.status == badGateway);
+    BOOST_TEST(!result.header(stampField).has_value());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(partOfAnAnswerThatIsResetDuringALongUploadIsNoAnswer)
+{
+    // From a reset that comes with the answer to one that comes when the daemon waits to write.
+    const std::vector<std::chrono::milliseconds> pausesBeforeReset{0ms, 20ms, 100ms, 300ms};
+    std::atomic<std::size_t> uploads = 0;
+    ScriptedFleet fleet{[&](Socket &socket, int) -> asio::awaitable<void> {
+        socket.set_option(asio::socket_base::receive_buffer_size{serverReceiveBufferBytes});
+        std::string buffer;
+        std::string head = co_await ScriptedServer::readHead(socket, buffer);
+        for (; !isUpload(head); head = co_await ScriptedServer::readHead(socket, buffer))
+            co_await ScriptedServer::write(socket, soundAnswerTo(head));
+        const std::chrono::milliseconds pause = pausesBeforeReset.at(uploads++);
+        co_await ScriptedServer::write(socket,
+                                       "HTTP/1.1 200 OK\r\n" + ownFields(head) + "\r\nthe first");
+        std::this_thread::sleep_for(pause);
+        ScriptedServer::reset(socket);
+    }};
+    const std::string body(longBodyBytes, 'b');
+    for (std::size_t sent = 1; sent <= pausesBeforeReset.size(); ++sent) {
+        waitUntilUsed(fleet);
+        const SyncHttpResult result = fleet.send("a1", "POST", "/upload/x", std::nullopt, body);
+        expectBadGateway(result);
+        BOOST_TEST(result.body.find("the first") == std::string::npos);
+        // The upload may have run, so that it is not sent again.
+        BOOST_TEST(uploads == sent);
+    }
+}
