Take no answer whose status line RFC 9112 does not allow

What callers saw: a server in trouble sent an answer whose status was 000, and the caller got an answer. Alone, a 000 gave 502 or 504 here; followed by anything that looks like an answer, that one reached the caller as 200 or as the server's failure, and a 999 was passed on.

Cause: http_parser takes any number up to 999 for a status, of any number of digits, in any version, and we took each status under 200 for an interim answer, which is skipped with its body. CurlTransfer (control plane of the older mode, its peers and its platform) read the status by hand, as leniently.

Change: AnswerHead reads a head line by line and checks its status line: HTTP/1.x, one space, exactly three digits from 100 to 599 (RFC 9110 calls all others invalid), a reason of printable characters or none. 101 is no answer either, as no request asks for another protocol. AnswerParser (servers, peers and relays, the store) and CurlTransfer both read heads with it, in place of two ways of their own. AnswerParser passes a line on to http_parser only when it is whole and allowed; the fields come from AnswerHead. Empty lines before an answer change nothing in it and stay allowed, as do a missing or empty reason and bytes over 0x7f in it.

--- /dev/null
+++ b/src/libbulrushio/connection/answerhead.cpp
@@ -0,0 +1,101 @@
+#include "connection/answerhead.h"
+
+#include "connection/httpfield.h"
+#include "connection/transporterror.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace bulrush::io {
+
+namespace {
+
+constexpr int firstStatus = 100;
+constexpr int switchingProtocols = 101;
+constexpr int firstFinalStatus = 200;
+constexpr int lastStatus = 599;
+constexpr std::size_t statusDigits = 3;
+constexpr std::string_view versionPrefix = "HTTP/1.";
+
+bool isDigit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
+std::string_view withoutLineEnd(std::string_view line)
+{
+    if (line.ends_with('\n'))
+        line.remove_suffix(line.ends_with("\r\n") ? 2 : 1);
+    return line;
+}
+
+/** \returns the status in a status line whose reason phrase may be missing, or nothing. */
+std::optional<int> statusIn(std::string_view line)
+{
+    if (!line.starts_with(versionPrefix) || !isFieldText(line))
+        return std::nullopt;
+    line.remove_prefix(versionPrefix.size());
+    if (line.size() < 2 + statusDigits || !isDigit(line[0]) || line[1] != ' ')
+        return std::nullopt;
+    const std::string_view digits = line.substr(2, statusDigits);
+    const std::string_view reason = line.substr(2 + statusDigits);
+    const bool isSeparated = reason.empty() || reason.starts_with(' ');
+    if (!std::ranges::all_of(digits, isDigit) || !isSeparated)
+        return std::nullopt;
+    int status = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), status);
+    return status;
+}
+
+} // namespace
+
+void AnswerHead::reset()
+{
+    m_status = 0;
+    m_headers.clear();
+    m_isComplete = false;
+}
+
+std::error_code AnswerHead::readLine(std::string_view line)
+{
+    line = withoutLineEnd(line);
+    if (m_isComplete)
+        reset();
+    // Empty lines before an answer change nothing in it.
+    if (m_status == 0)
+        return line.empty() ? std::error_code{} : readStatusLine(line);
+    if (line.empty()) {
+        m_isComplete = true;
+        return {};
+    }
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos)
+        return TransportError::AnswerMalformed;
+    m_headers.push_back(
+        {std::string{line.substr(0, colon)}, std::string{trimmed(line.substr(colon + 1))}});
+    return {};
+}
+
+bool AnswerHead::isFinal() const
+{
+    return m_isComplete && m_status >= firstFinalStatus;
+}
+
+std::vector<HttpHeader> AnswerHead::takeHeaders()
+{
+    return std::exchange(m_headers, {});
+}
+
+std::error_code AnswerHead::readStatusLine(std::string_view line)
+{
+    const std::optional<int> status = statusIn(line);
+    // No request asks for another protocol.
+    if (!status || *status < firstStatus || *status > lastStatus || *status == switchingProtocols)
+        return TransportError::AnswerMalformed;
+    m_status = *status;
+    return {};
+}
+
+} // namespace bulrush::io
--- /dev/null
+++ b/src/libbulrushio/connection/answerhead.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "connection/httpclient.h"
+
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+namespace bulrush::io {
+
+/**
+ * The head of an answer, read line by line. All readers of answers check heads with it, as the
+ * libraries below them accept more than RFC 9112 does.
+ *
+ * Not thread safe.
+ */
+class AnswerHead
+{
+public:
+    /** Forgets all lines, for the next answer. */
+    void reset();
+
+    /**
+     * Reads one line, with or without its line end, which may be a single LF. An empty line ends
+     * the head; the line after the head of an interim answer begins the next head. \returns
+     * TransportError::AnswerMalformed if no answer has such a line there. \pre !isFinal(), and no
+     * previous error
+     */
+    std::error_code readLine(std::string_view line);
+
+    /** \returns whether the head is complete, be it that of an interim answer. */
+    bool isComplete() const;
+
+    /** \returns whether the head is complete and that of a final answer. */
+    bool isFinal() const;
+
+    /** \returns the status, or 0 before the status line. */
+    int status() const;
+
+    /** \returns the fields so far, in order. */
+    const std::vector<HttpHeader> &headers() const;
+
+    /** \returns the fields by moving them out. */
+    std::vector<HttpHeader> takeHeaders();
+
+private:
+    std::error_code readStatusLine(std::string_view line);
+
+    int m_status = 0;
+    std::vector<HttpHeader> m_headers;
+    bool m_isComplete = false;
+};
+
+inline bool AnswerHead::isComplete() const
+{
+    return m_isComplete;
+}
+
+inline int AnswerHead::status() const
+{
+    return m_status;
+}
+
+inline const std::vector<HttpHeader> &AnswerHead::headers() const
+{
+    return m_headers;
+}
+
+} // namespace bulrush::io
--- a/src/libbulrushio/connection/answerparser.cpp
+++ b/src/libbulrushio/connection/answerparser.cpp
@@ -12,13 +12,19 @@
 
 namespace {
 
-constexpr int firstFinalStatus = 200;
-/** Maximum size of an answer's header fields; backend servers send far less. */
+/** Maximum size of an answer's header and trailer fields; backend servers send far less. */
 constexpr std::size_t maxHeaderBytes = std::size_t{64} * 1024;
 /** A body is copied when its room grows, and when its answer is written. */
 constexpr std::uint64_t copiesHeld = 2;
 constexpr std::string_view timeoutParameter = "timeout=";
 
+/** \returns the length of the first line in \a bytes with its end, if that is there. */
+std::size_t lengthOfLine(std::string_view bytes)
+{
+    const std::size_t end = bytes.find('\n');
+    return end == std::string_view::npos ? bytes.size() : end + 1;
+}
+
 } // namespace
 
 AnswerParser::AnswerParser(std::size_t bodyLimit, std::shared_ptr<MemoryAccount> memory)
@@ -35,10 +41,10 @@
     m_response = {};
     m_bodyMemory.reset();
     m_error = {};
+    m_head.reset();
+    m_line.clear();
     m_headerBytes = 0;
     m_isHead = isHead;
-    m_isHeadComplete = false;
-    m_isValueLast = false;
     m_hasBegun = false;
     m_isComplete = false;
     m_keepsConnection = false;
@@ -49,16 +55,44 @@
     std::size_t consumed = 0;
     while (consumed < bytes.size() && !m_isComplete && !m_error) {
         m_hasBegun = true;
-        consumed += http_parser_execute(&m_parser, &callbacks(), bytes.data() + consumed,
-                                        bytes.size() - consumed);
-        const auto state = static_cast<http_errno>(m_parser.http_errno);
-        if (state == HPE_PAUSED && !m_isComplete) {
-            // The end of an interim answer; the final one follows.
-            begin(m_isHead);
-            m_hasBegun = true;
-        } else if (state != HPE_OK && state != HPE_PAUSED && !m_error) {
-            m_error = TransportError::AnswerMalformed;
-        }
+        const std::string_view rest = bytes.substr(consumed);
+        consumed += m_head.isComplete() ? parse(rest) : feedHead(rest);
+    }
+    return consumed;
+}
+
+/** Parses at most one line of the head. \returns the number of bytes consumed. */
+std::size_t AnswerParser::feedHead(std::string_view bytes)
+{
+    const std::size_t length = lengthOfLine(bytes);
+    m_line.append(bytes.substr(0, length));
+    if (m_line.size() > maxHeaderBytes)
+        m_error = TransportError::AnswerTooLarge;
+    else if (m_line.ends_with('\n'))
+        parseHeadLine(std::exchange(m_line, {}));
+    return length;
+}
+
+/** Only lines that an answer may have reach the parser, which would accept others, too. */
+void AnswerParser::parseHeadLine(std::string_view line)
+{
+    m_error = m_head.readLine(line);
+    if (!m_error)
+        parse(line);
+}
+
+/** Passes \a bytes to the parser. \returns the number of bytes consumed. */
+std::size_t AnswerParser::parse(std::string_view bytes)
+{
+    const std::size_t consumed =
+        http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
+    const auto state = static_cast<http_errno>(m_parser.http_errno);
+    if (state == HPE_PAUSED && !m_isComplete) {
+        // The end of an interim answer; the final one follows.
+        begin(m_isHead);
+        m_hasBegun = true;
+    } else if (state != HPE_OK && state != HPE_PAUSED && !m_error) {
+        m_error = TransportError::AnswerMalformed;
     }
     return consumed;
 }
@@ -105,48 +139,22 @@
     return *static_cast<AnswerParser *>(parser->data);
 }
 
-bool AnswerParser::addHeaderBytes(std::size_t length)
-{
-    m_headerBytes += length;
-    if (m_headerBytes <= maxHeaderBytes)
-        return true;
-    m_error = TransportError::AnswerTooLarge;
-    return false;
-}
-
-int AnswerParser::onFieldName(http_parser *parser, const char *at, std::size_t length)
-{
-    AnswerParser &answer = self(parser);
-    if (answer.m_isHeadComplete)
-        return answer.addHeaderBytes(length) ? 0 : -1;
-    std::vector<HttpHeader> &headers = answer.m_response.headers;
-    if (headers.empty() || answer.m_isValueLast)
-        headers.emplace_back();
-    answer.m_isValueLast = false;
-    headers.back().name.append(at, length);
-    return answer.addHeaderBytes(length) ? 0 : -1;
-}
-
-int AnswerParser::onFieldValue(http_parser *parser, const char *at, std::size_t length)
+/** Counts the bytes of names and values, in the head and in a trailer. */
+int AnswerParser::onFieldPart(http_parser *parser, const char * /*at*/, std::size_t length)
 {
     AnswerParser &answer = self(parser);
-    if (answer.m_isHeadComplete)
-        return answer.addHeaderBytes(length) ? 0 : -1;
-    answer.m_isValueLast = true;
-    answer.m_response.headers.back().value.append(at, length);
-    return answer.addHeaderBytes(length) ? 0 : -1;
+    answer.m_headerBytes += length;
+    if (answer.m_headerBytes <= maxHeaderBytes)
+        return 0;
+    answer.m_error = TransportError::AnswerTooLarge;
+    return -1;
 }
 
 int AnswerParser::onHeadersComplete(http_parser *parser)
 {
     AnswerParser &answer = self(parser);
-    answer.m_response.status = static_cast<int>(parser->status_code);
-    answer.m_isHeadComplete = true;
-    // The parser keeps white space at the end of values.
-    for (HttpHeader &header : answer.m_response.headers)
-        header.value = std::string{trimmed(header.value)};
-    if (parser->upgrade != 0)
-        return -1;
+    answer.m_response.status = answer.m_head.status();
+    answer.m_response.headers = answer.m_head.takeHeaders();
     if (answer.m_isHead)
         return 1;
     const bool hasLength = parser->content_length != ULLONG_MAX;
@@ -184,7 +192,7 @@
 int AnswerParser::onMessageComplete(http_parser *parser)
 {
     AnswerParser &answer = self(parser);
-    answer.m_isComplete = answer.m_response.status >= firstFinalStatus;
+    answer.m_isComplete = answer.m_head.isFinal();
     answer.m_keepsConnection = http_should_keep_alive(parser) != 0;
     http_parser_pause(parser, 1);
     return 0;
@@ -195,8 +203,8 @@
     static const http_parser_settings settings = [] {
         http_parser_settings parserSettings;
         http_parser_settings_init(&parserSettings);
-        parserSettings.on_header_field = &AnswerParser::onFieldName;
-        parserSettings.on_header_value = &AnswerParser::onFieldValue;
+        parserSettings.on_header_field = &AnswerParser::onFieldPart;
+        parserSettings.on_header_value = &AnswerParser::onFieldPart;
         parserSettings.on_headers_complete = &AnswerParser::onHeadersComplete;
         parserSettings.on_body = &AnswerParser::onBody;
         parserSettings.on_message_complete = &AnswerParser::onMessageComplete;
--- a/src/libbulrushio/connection/answerparser.h
+++ b/src/libbulrushio/connection/answerparser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/memoryholder.h"
+#include "connection/answerhead.h"
 #include "connection/httpclient.h"
 
 #include <http_parser.h>
@@ -63,26 +64,27 @@
 
 private:
     static AnswerParser &self(http_parser *parser);
-    static int onFieldName(http_parser *parser, const char *at, std::size_t length);
-    static int onFieldValue(http_parser *parser, const char *at, std::size_t length);
+    static int onFieldPart(http_parser *parser, const char *at, std::size_t length);
     static int onHeadersComplete(http_parser *parser);
     static int onBody(http_parser *parser, const char *at, std::size_t length);
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &callbacks();
-    bool addHeaderBytes(std::size_t length);
+    std::size_t feedHead(std::string_view bytes);
+    void parseHeadLine(std::string_view line);
+    std::size_t parse(std::string_view bytes);
     bool reserveBody(std::uint64_t length);
 
     std::size_t m_bodyLimit;
     std::shared_ptr<MemoryAccount> m_memory;
     std::shared_ptr<MemoryHolder> m_bodyMemory;
     http_parser m_parser{};
+    AnswerHead m_head;
+    /** The beginning of the next line of the head. */
+    std::string m_line;
     HttpResponse m_response;
     std::error_code m_error;
     std::size_t m_headerBytes = 0;
     bool m_isHead = false;
-    /** Fields after the head are those of a trailer. */
-    bool m_isHeadComplete = false;
-    bool m_isValueLast = false;
     bool m_hasBegun = false;
     bool m_isComplete = false;
     bool m_keepsConnection = false;
--- a/src/libbulrushio/connection/curltransfer.cpp
+++ b/src/libbulrushio/connection/curltransfer.cpp
@@ -5,7 +5,6 @@
 #include "connection/transporterror.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cstring>
 #include <utility>
 
@@ -227,10 +226,7 @@
 std::size_t CurlTransfer::onHeader(char *bytes, std::size_t size, std::size_t count, void *self)
 {
     auto *transfer = static_cast<CurlTransfer *>(self);
-    std::string_view line{bytes, size * count};
-    while (line.ends_with('\n') || line.ends_with('\r'))
-        line.remove_suffix(1);
-    transfer->readHeaderLine(line);
+    transfer->readHeaderLine({bytes, size * count});
     return transfer->m_isHeadMalformed || transfer->m_isMismatched ? 0 : size * count;
 }
 
@@ -317,33 +313,17 @@
 
 void CurlTransfer::readHeaderLine(std::string_view line)
 {
-    if (m_isHeadComplete)
+    if (m_answerHead.isFinal())
         return; // trailers
-    if (line.empty()) {
+    m_isHeadMalformed =
+        m_answerHead.readLine(line) || m_answerHead.headers().size() > maxResponseFields;
+    if (!m_isHeadMalformed && m_answerHead.isFinal())
         completeHead();
-        return;
-    }
-    if (line.starts_with("HTTP/")) {
-        const std::size_t space = line.find(' ');
-        m_head = {};
-        if (space != std::string_view::npos)
-            std::from_chars(line.data() + space + 1, line.data() + line.size(), m_head.status);
-        return;
-    }
-    const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos || m_head.headers.size() >= maxResponseFields) {
-        m_isHeadMalformed = true;
-        return;
-    }
-    m_head.headers.push_back(
-        {std::string{line.substr(0, colon)}, std::string{trimmed(line.substr(colon + 1))}});
 }
 
 void CurlTransfer::completeHead()
 {
-    constexpr int firstFinalStatus = 200;
-    if (m_head.status < firstFinalStatus)
-        return;
+    m_head = {m_answerHead.status(), m_answerHead.takeHeaders()};
     const std::vector<std::string_view> lengths = fieldValues(m_head.headers, "Content-Length");
     const bool hasEncoding = findField(m_head.headers, "Transfer-Encoding") != nullptr;
     const bool isBodyless =
--- a/src/libbulrushio/connection/curltransfer.h
+++ b/src/libbulrushio/connection/curltransfer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/answerhead.h"
 #include "connection/transferevent.h"
 
 #include <asio/steady_timer.hpp>
@@ -113,6 +114,7 @@
     bool m_isSendPaused = false;
     bool m_isRoomEventPending = false;
 
+    AnswerHead m_answerHead;
     ResponseHead m_head;
     bool m_isHeadComplete = false;
     bool m_isHeadDelivered = false;
--- a/src/libbulrushio/connection/httpfield.cpp
+++ b/src/libbulrushio/connection/httpfield.cpp
@@ -38,9 +38,14 @@
     return !text.empty() && std::ranges::all_of(text, isTokenCharacter);
 }
 
+bool isFieldText(std::string_view text)
+{
+    return std::ranges::all_of(text, isFieldCharacter);
+}
+
 bool isSafeField(const HttpHeader &header)
 {
-    return isToken(header.name) && std::ranges::all_of(header.value, isFieldCharacter);
+    return isToken(header.name) && isFieldText(header.value);
 }
 
 std::string_view trimmed(std::string_view text)
--- a/src/libbulrushio/connection/httpfield.h
+++ b/src/libbulrushio/connection/httpfield.h
@@ -14,6 +14,9 @@
 /** \returns whether \a text is a token of RFC 9110, as methods and field names are. Thread safe. */
 bool isToken(std::string_view text);
 
+/** \returns whether \a text has no characters that could break out of its line. Thread safe. */
+bool isFieldText(std::string_view text);
+
 /** \returns whether \a header has no characters that could break out of its line. Thread safe. */
 bool isSafeField(const HttpHeader &header);
 
--- a/tests/bulrushctl/test_platformaccess.cpp
+++ b/tests/bulrushctl/test_platformaccess.cpp
@@ -65,6 +65,18 @@
         BOOST_CHECK_MESSAGE(commitAfter(scripted).outcome == CommitOutcome::Unknown, scripted);
 }
 
+BOOST_AUTO_TEST_CASE(answerWhoseStatusIsNoneLeavesTheOutcomeUnknown)
+{
+    const std::string committed = R"({"committed": true, "versions": [8]})";
+    for (const std::string status : {"000 OK", "099 OK", "0200 OK", "1000 OK", "999 OK"}) {
+        const std::string broken = answer(status, committed);
+        for (const std::string &scripted : {broken, broken + answer("200 OK", committed)}) {
+            const CommitResult result = commitAfter(scripted);
+            BOOST_CHECK_MESSAGE(result.outcome == CommitOutcome::Unknown, scripted);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(closedEndpointIsReportedAsNotSentAndTheNextIsTried)
 {
     BOOST_CHECK((PlatformAccess{{closedEndpoint()}, 5s}.transact(transaction()).outcome)
--- a/tests/entryfleet/test_entrybrokenanswers.cpp
+++ b/tests/entryfleet/test_entrybrokenanswers.cpp
@@ -55,6 +55,29 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(answerWhoseStatusIsNoneReachesNoCaller)
+{
+    const std::vector<std::string> statuses{"000", "00", "99", "0200", "1000", "999"};
+    std::atomic<std::size_t> uploads = 0;
+    ScriptedFleet fleet{[&](Socket &socket, int) -> asio::awaitable<void> {
+        std::string buffer;
+        for (;;) {
+            const std::string head = co_await ScriptedServer::readHead(socket, buffer);
+            std::string answer = soundAnswerTo(head);
+            // What follows the broken answer must not be taken for the answer either.
+            if (isUpload(head))
+                answer = "HTTP/1.1 " + statuses.at(uploads++) + " Broken\r\n" + ownFields(head)
+                    + "Content-Length: 0\r\n\r\n" + answer;
+            co_await ScriptedServer::write(socket, answer);
+        }
+    }};
+    for (std::size_t sent = 1; sent <= statuses.size(); ++sent) {
+        waitUntilUsed(fleet);
+        expectBadGateway(fleet.send("a1", "POST", "/upload/x"));
+        BOOST_TEST(uploads == sent);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(partOfAnAnswerThatIsResetDuringALongUploadIsNoAnswer)
 {
     // From a reset that comes with the answer to one that comes when the daemon waits to write.
--- a/tests/httpclient/test_httpclient.cpp
+++ b/tests/httpclient/test_httpclient.cpp
@@ -198,6 +198,15 @@
          TransportError::AnswerMalformed},
         {"what is this\r\n\r\n", TransportError::AnswerMalformed},
         {"HTTP/1.1 200 OK\r\nContent-Le", TransportError::AnswerTruncated},
+        {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nhi", TransportError::AnswerMalformed},
+        {"HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+         TransportError::AnswerMalformed},
+        {"HTTP/1.1 99 OK\r\nContent-Length: 2\r\n\r\nhi", TransportError::AnswerMalformed},
+        {"HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\nhi", TransportError::AnswerMalformed},
+        {"HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\nhi", TransportError::AnswerMalformed},
+        {"HTTP/1.1 1000 OK\r\nContent-Length: 2\r\n\r\nhi", TransportError::AnswerMalformed},
+        {"HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\nhi", TransportError::AnswerMalformed},
+        {"HTTP/1.1  200 OK\r\nContent-Length: 2\r\n\r\nhi", TransportError::AnswerMalformed},
     };
     for (const Case &testCase : cases) {
         BOOST_TEST_CONTEXT(testCase.answer)
--- a/tests/serverclient/test_answerparser.cpp
+++ b/tests/serverclient/test_answerparser.cpp
@@ -85,11 +85,53 @@
     AnswerParser garbage{bodyLimit};
     garbage.feed("\x01\x02 no answer at all\r\n\r\n");
     BOOST_TEST(garbage.error() == TransportError::AnswerMalformed);
+    AnswerParser endlessLine{bodyLimit};
+    endlessLine.feed("HTTP/1.1 200 " + std::string(70'000, 'x'));
+    BOOST_TEST(endlessLine.error() == TransportError::AnswerTooLarge);
     AnswerParser tooLong{bodyLimit};
     tooLong.feed("HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n" + std::string(200, 'x'));
     BOOST_TEST(tooLong.error() == TransportError::AnswerTooLarge);
 }
 
+BOOST_AUTO_TEST_CASE(answerWhoseStatusIsNoneIsMalformed)
+{
+    for (const std::string status : {"000", "00", "0", "99", "099", "1000", "0200", "20", "-200",
+                                     "2 0", "2x0", "600", "999", "", " 200", "200x"}) {
+        const std::string head = "HTTP/1.1 " + status + " Said\r\n";
+        for (const std::string &rest :
+             {std::string{"\r\n"}, std::string{"Content-Length: 5\r\n\r\nhello"}}) {
+            AnswerParser parser{bodyLimit};
+            // Nothing that follows on the connection is an answer to the request either.
+            parser.feed(head + rest + completeAnswer);
+            BOOST_TEST(parser.error() == TransportError::AnswerMalformed, head);
+            BOOST_TEST(!parser.isComplete());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(statusLineOfAnotherProtocolIsMalformed)
+{
+    for (const std::string line :
+         {"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1 200 OK", "HTTP/1.10 200 OK",
+          "http/1.1 200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\rK"}) {
+        AnswerParser parser{bodyLimit};
+        parser.feed(line + "\r\nContent-Length: 5\r\n\r\nhello");
+        BOOST_TEST(parser.error() == TransportError::AnswerMalformed, line);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(soundStatusLinesAreAccepted)
+{
+    for (const std::string line :
+         {"HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 299 Any\treason",
+          "HTTP/1.1 599 \xc3\x9c", "\r\nHTTP/1.1 404 Not Found"}) {
+        AnswerParser parser{bodyLimit};
+        parser.feed(line + "\r\nContent-Length: 5\r\n\r\nhello");
+        BOOST_REQUIRE_MESSAGE(parser.isComplete(), line);
+        BOOST_TEST(parser.takeResponse().body == "hello");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(answerToHeadHasNoBody)
 {
     AnswerParser parser{bodyLimit};
