Take no answer with a line in its head that is no field

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer; after "Content-Length : 3" and a body of five bytes it got three of them as the whole body. With X-Bulrushswitch-Not-Executed beside such a line it was told that the request did not run. Names with control bytes, separators or bytes over 0x7f gave 502 already.

Cause: http_parser, as it is built on our platforms, allows blanks in names, takes "Content-Length " for Content-Length, and joins a continued line to the value before it without a space. libcurl, below CurlTransfer and bulrushctl, checks neither names nor values.

Change: fieldIn() reads a field line as RFC 9112 has it: a token, the colon right after it, and a value without control bytes but tabs; a continued line is none. AnswerHead reads every line of a head with it, that of an interim answer too, and the lines of a trailer, so that all readers are covered at one place: AnswerParser (servers, peers and relays, the store), CurlTransfer, and bulrushctl, which now reads heads with AnswerHead and reports such an answer as "unknown", as it may have taken effect.

The rest is as for other broken answers: 502 without a promise, the connection is not used again, requests that may run once are not sent again.

--- a/src/bulrushctl/blockinghttp.cpp
+++ b/src/bulrushctl/blockinghttp.cpp
@@ -1,10 +1,13 @@
 #include "blockinghttp.h"
 
+#include "connection/answerhead.h"
 #include "exitcode.h"
 
 #include <curl/curl.h>
 
 #include <memory>
+#include <string>
+#include <utility>
 
 namespace bulrush::ctl {
 
@@ -38,7 +41,24 @@
     return bytes;
 }
 
-void setOptions(CURL *handle, const BlockingRequest &request, std::string &body)
+/** What has come of an answer. */
+struct ReceivedAnswer
+{
+    io::AnswerHead head;
+    /** Why the head is none, if so. */
+    std::error_code headError;
+    std::string body;
+};
+
+std::size_t readHeadLine(const char *data, std::size_t size, std::size_t count, void *target)
+{
+    auto &received = *static_cast<ReceivedAnswer *>(target);
+    const std::size_t bytes = size * count;
+    received.headError = received.head.readLine({data, bytes});
+    return received.headError ? 0 : bytes;
+}
+
+void setOptions(CURL *handle, const BlockingRequest &request, ReceivedAnswer &received)
 {
     const auto timeout = std::chrono::ceil<std::chrono::milliseconds>(request.timeout).count();
     curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
@@ -48,7 +68,9 @@
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout));
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, appendTo);
-    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &body);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &received.body);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, readHeadLine);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &received);
     if (request.method == "GET")
         return;
     curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -73,21 +95,21 @@
 
     const std::unique_ptr<curl_slist, ListDeleter> headers{
         curl_slist_append(nullptr, "Content-Type: application/json")};
-    BlockingAnswer answer;
-    setOptions(handle.get(), request, answer.body);
+    ReceivedAnswer received;
+    setOptions(handle.get(), request, received);
     curl_easy_setopt(handle.get(), CURLOPT_HTTPHEADER, headers.get());
 
     const CURLcode code = curl_easy_perform(handle.get());
+    if (received.headError)
+        return {make_error_code(CtlError::Unknown), received.headError.message(), 0, {}};
     if (code != CURLE_OK) {
         const bool isSent = hasSentBytes(handle.get());
-        answer.error = make_error_code(isSent ? CtlError::Unknown : CtlError::Unreachable);
-        answer.cause = curl_easy_strerror(code);
-        return answer;
+        return {make_error_code(isSent ? CtlError::Unknown : CtlError::Unreachable),
+                curl_easy_strerror(code),
+                0,
+                {}};
     }
-    long status = 0;
-    curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
-    answer.status = static_cast<int>(status);
-    return answer;
+    return {{}, {}, received.head.status(), std::move(received.body)};
 }
 
 } // namespace bulrush::ctl
--- a/src/libbulrushio/connection/answerhead.cpp
+++ b/src/libbulrushio/connection/answerhead.cpp
@@ -24,13 +24,6 @@
     return c >= '0' && c <= '9';
 }
 
-std::string_view withoutLineEnd(std::string_view line)
-{
-    if (line.ends_with('\n'))
-        line.remove_suffix(line.ends_with("\r\n") ? 2 : 1);
-    return line;
-}
-
 /** \returns the status in a status line whose reason phrase may be missing, or nothing. */
 std::optional<int> statusIn(std::string_view line)
 {
@@ -61,6 +54,8 @@
 std::error_code AnswerHead::readLine(std::string_view line)
 {
     line = withoutLineEnd(line);
+    if (isFinal())
+        return line.empty() || fieldIn(line) ? std::error_code{} : TransportError::AnswerMalformed;
     if (m_isComplete)
         reset();
     // Empty lines before an answer change nothing in it.
@@ -70,11 +65,10 @@
         m_isComplete = true;
         return {};
     }
-    const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos)
+    std::optional<HttpHeader> field = fieldIn(line);
+    if (!field)
         return TransportError::AnswerMalformed;
-    m_headers.push_back(
-        {std::string{line.substr(0, colon)}, std::string{trimmed(line.substr(colon + 1))}});
+    m_headers.push_back(*std::move(field));
     return {};
 }
 
--- a/src/libbulrushio/connection/answerhead.h
+++ b/src/libbulrushio/connection/answerhead.h
@@ -22,9 +22,9 @@
 
     /**
      * Reads one line, with or without its line end, which may be a single LF. An empty line ends
-     * the head; the line after the head of an interim answer begins the next head. \returns
-     * TransportError::AnswerMalformed if no answer has such a line there. \pre !isFinal(), and no
-     * previous error
+     * the head. The line after the head of an interim answer begins the next head; lines after that
+     * of a final answer are those of a trailer, whose fields are checked and dropped. \returns
+     * TransportError::AnswerMalformed if no answer has such a line there. \pre no previous error
      */
     std::error_code readLine(std::string_view line);
 
--- a/src/libbulrushio/connection/curltransfer.cpp
+++ b/src/libbulrushio/connection/curltransfer.cpp
@@ -313,11 +313,10 @@
 
 void CurlTransfer::readHeaderLine(std::string_view line)
 {
-    if (m_answerHead.isFinal())
-        return; // trailers
+    const bool isTrailer = m_answerHead.isFinal();
     m_isHeadMalformed =
         m_answerHead.readLine(line) || m_answerHead.headers().size() > maxResponseFields;
-    if (!m_isHeadMalformed && m_answerHead.isFinal())
+    if (!m_isHeadMalformed && !isTrailer && m_answerHead.isFinal())
         completeHead();
 }
 
--- a/src/libbulrushio/connection/httpfield.cpp
+++ b/src/libbulrushio/connection/httpfield.cpp
@@ -48,6 +48,25 @@
     return isToken(header.name) && isFieldText(header.value);
 }
 
+std::string_view withoutLineEnd(std::string_view line)
+{
+    if (line.ends_with('\n'))
+        line.remove_suffix(line.ends_with("\r\n") ? 2 : 1);
+    return line;
+}
+
+std::optional<HttpHeader> fieldIn(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    HttpHeader header{std::string{line.substr(0, colon)},
+                      std::string{trimmed(line.substr(colon + 1))}};
+    if (!isSafeField(header))
+        return std::nullopt;
+    return header;
+}
+
 std::string_view trimmed(std::string_view text)
 {
     const std::size_t first = text.find_first_not_of(" \t");
--- a/src/libbulrushio/connection/httpfield.h
+++ b/src/libbulrushio/connection/httpfield.h
@@ -2,6 +2,7 @@
 
 #include "connection/httpclient.h"
 
+#include <optional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,15 @@
 /** \returns whether \a header has no characters that could break out of its line. Thread safe. */
 bool isSafeField(const HttpHeader &header);
 
+/** \returns \a line without its line end, CRLF or LF, if it has one. Thread safe. */
+std::string_view withoutLineEnd(std::string_view line);
+
+/**
+ * \returns the field in \a line, which has no line end, or nothing if it is no field line of RFC
+ * 9112. The continuation of another line is none either. Thread safe.
+ */
+std::optional<HttpHeader> fieldIn(std::string_view line);
+
 /** \returns \a text without leading and trailing spaces and tabs. Thread safe. */
 std::string_view trimmed(std::string_view text);
 
--- a/tests/bulrushctl/test_platformaccess.cpp
+++ b/tests/bulrushctl/test_platformaccess.cpp
@@ -77,6 +77,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(answerWithAFieldThatIsNoneLeavesTheOutcomeUnknown)
+{
+    const std::string committed = R"({"committed": true, "versions": [8]})";
+    for (const std::string line :
+         {"Some Name: x", "Content-Length : 9", "Na\x01me: x", " Name: x", "Name: a\x01"}) {
+        const CommitResult result = commitAfter(answer("200 OK\r\nName: x\r\n" + line, committed));
+        BOOST_CHECK_MESSAGE(result.outcome == CommitOutcome::Unknown, line);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(closedEndpointIsReportedAsNotSentAndTheNextIsTried)
 {
     BOOST_CHECK((PlatformAccess{{closedEndpoint()}, 5s}.transact(transaction()).outcome)
--- a/tests/entryfleet/test_entrybrokenanswers.cpp
+++ b/tests/entryfleet/test_entrybrokenanswers.cpp
@@ -78,6 +78,50 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(answerWithAFieldThatIsNoneReachesNoCaller)
+{
+    const std::vector<std::string> lines{"Some Name: x", "Content-Length : 3", "Name\t: x",
+                                         "Na\x01me: x",  " continued: x",      "Name: a\x01"};
+    std::atomic<std::size_t> uploads = 0;
+    ScriptedFleet fleet{[&](Socket &socket, int) -> asio::awaitable<void> {
+        std::string buffer;
+        for (;;) {
+            const std::string head = co_await ScriptedServer::readHead(socket, buffer);
+            std::string answer = soundAnswerTo(head);
+            // Behind the status line, so that the framing of the sound answer stays.
+            if (isUpload(head))
+                answer.insert(answer.find("\r\n") + 2, lines.at(uploads++) + "\r\n");
+            co_await ScriptedServer::write(socket, answer);
+        }
+    }};
+    for (std::size_t sent = 1; sent <= lines.size(); ++sent) {
+        waitUntilUsed(fleet);
+        expectBadGateway(fleet.send("a1", "POST", "/upload/x"));
+        BOOST_TEST(uploads == sent);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(brokenAnswerThatStatesThatTheRequestDidNotRunProvesNothing)
+{
+    std::atomic<int> uploads = 0;
+    ScriptedFleet fleet{[&](Socket &socket, int) -> asio::awaitable<void> {
+        std::string buffer;
+        for (;;) {
+            const std::string head = co_await ScriptedServer::readHead(socket, buffer);
+            std::string answer = soundAnswerTo(head);
+            if (isUpload(head)) {
+                ++uploads;
+                answer = "HTTP/1.1 503 Busy\r\n" + ownFields(head)
+                    + "X-Bulrushswitch-Not-Executed: 1\r\nSome Name: x\r\n"
+                      "Content-Length: 0\r\n\r\n";
+            }
+            co_await ScriptedServer::write(socket, answer);
+        }
+    }};
+    expectBadGateway(fleet.send("a1", "POST", "/upload/x"));
+    BOOST_TEST(uploads == 1);
+}
+
 BOOST_AUTO_TEST_CASE(partOfAnAnswerThatIsResetDuringALongUploadIsNoAnswer)
 {
     // From a reset that comes with the answer to one that comes when the daemon waits to write.
--- a/tests/serverclient/test_answerparser.cpp
+++ b/tests/serverclient/test_answerparser.cpp
@@ -132,6 +132,56 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(answerWithAFieldThatIsNoneIsMalformed)
+{
+    const std::string nul(1, '\0');
+    for (const std::string &line : {std::string{"Content-Length : 3"},
+                                    std::string{"Some Name: x"},
+                                    std::string{"Name\t: x"},
+                                    std::string{" Name: x"},
+                                    std::string{"\tName: x"},
+                                    std::string{" continued"},
+                                    std::string{": x"},
+                                    std::string{"no colon"},
+                                    std::string{"Na\x01me: x"},
+                                    std::string{"Na\x1fme: x"},
+                                    std::string{"Na\x7fme: x"},
+                                    std::string{"Na\x80me: x"},
+                                    std::string{"Na\rme: x"},
+                                    std::string{"Na(me: x"},
+                                    std::string{"Na/me: x"},
+                                    "Na" + nul + "me: x",
+                                    "Name: x" + nul,
+                                    std::string{"Name: a\x01"},
+                                    std::string{"Name: a\x7f"},
+                                    std::string{"Name: a\rOther: b"}}) {
+        for (const std::string &head :
+             {"HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 5\r\n",
+              "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + line + "\r\n",
+              "HTTP/1.1 200 OK\r\n" + line + "\r\n", "HTTP/1.1 103 Hints\r\n" + line + "\r\n"}) {
+            AnswerParser parser{bodyLimit};
+            parser.feed(head + "\r\nhello" + completeAnswer);
+            BOOST_TEST(parser.error() == TransportError::AnswerMalformed, head);
+            BOOST_TEST(!parser.isComplete());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(soundFieldsAreAccepted)
+{
+    AnswerParser parser{bodyLimit};
+    parser.feed("HTTP/1.1 200 OK\r\nEmpty:\r\nBlank: \t \r\nSpaced: \t a \t b \t\r\n"
+                "Bytes: \xc3\xbc\xff\r\n!#$%&'*+-.^_`|~09azAZ:x\r\nLine-Feed: alone\n"
+                "CONTENT-length:5\r\n\r\nhello");
+    BOOST_REQUIRE(parser.isComplete());
+    const HttpResponse response = parser.takeResponse();
+    std::string values;
+    for (const HttpHeader &header : response.headers)
+        values += header.value + '|';
+    BOOST_TEST(values == "||a \t b|\xc3\xbc\xff|x|alone|5|");
+    BOOST_TEST(response.body == "hello");
+}
+
 BOOST_AUTO_TEST_CASE(answerToHeadHasNoBody)
 {
     AnswerParser parser{bodyLimit};
