Take no answer in a transfer coding that nobody asked for

What callers would see: a body that is not the server's. An answer in "gzip, chunked" reached its caller as 200 without a word of gzip. With "chunked, chunked", and an orderly close, the body has the sizes of the chunks in it.

Cause: http_parser reads an answer in an unknown coding until the connection ends, and drops codings before the last one; the field concerns one connection only, so that it is not passed on. libcurl, below CurlTransfer and bulrushctl, also reads lengths as far as they are numbers ("5a"), and CurlTransfer took any Transfer-Encoding for a sound end of the body.

Change: AnswerHead checks, at the end of a head, that the fields state one length of digits, or chunks alone and in HTTP/1.1, or nothing. All readers use it; CurlTransfer's own check of both fields goes.

Chunks with extensions, trailers, leading zeros or blanks after the size are accepted before and after.

--- a/src/libbulrushio/connection/answerhead.cpp
+++ b/src/libbulrushio/connection/answerhead.cpp
@@ -18,12 +18,18 @@
 constexpr int lastStatus = 599;
 constexpr std::size_t statusDigits = 3;
 constexpr std::string_view versionPrefix = "HTTP/1.";
+constexpr std::string_view versionWithoutCodings = "HTTP/1.0";
 
 bool isDigit(char c)
 {
     return c >= '0' && c <= '9';
 }
 
+bool isLength(std::string_view value)
+{
+    return !value.empty() && std::ranges::all_of(value, isDigit);
+}
+
 /** \returns the status in a status line whose reason phrase may be missing, or nothing. */
 std::optional<int> statusIn(std::string_view line)
 {
@@ -63,7 +69,7 @@
         return line.empty() ? std::error_code{} : readStatusLine(line);
     if (line.empty()) {
         m_isComplete = true;
-        return {};
+        return !isFinal() || isFramingKnown() ? std::error_code{} : TransportError::AnswerMalformed;
     }
     std::optional<HttpHeader> field = fieldIn(line);
     if (!field)
@@ -89,7 +95,22 @@
     if (!status || *status < firstStatus || *status > lastStatus || *status == switchingProtocols)
         return TransportError::AnswerMalformed;
     m_status = *status;
+    m_canBeCoded = !line.starts_with(versionWithoutCodings);
     return {};
 }
 
+/**
+ * \returns whether the fields state in one way where a body ends, or not at all. No request asks
+ * for another coding than chunks.
+ */
+bool AnswerHead::isFramingKnown() const
+{
+    const std::vector<std::string_view> lengths = fieldValues(m_headers, "Content-Length");
+    const std::vector<std::string_view> codings = fieldValues(m_headers, "Transfer-Encoding");
+    if (codings.empty())
+        return lengths.empty() || (lengths.size() == 1 && isLength(lengths.front()));
+    return lengths.empty() && codings.size() == 1 && m_canBeCoded
+        && isSameFieldName(codings.front(), "chunked");
+}
+
 } // namespace bulrush::io
--- a/src/libbulrushio/connection/answerhead.h
+++ b/src/libbulrushio/connection/answerhead.h
@@ -45,8 +45,11 @@
 
 private:
     std::error_code readStatusLine(std::string_view line);
+    bool isFramingKnown() const;
 
     int m_status = 0;
+    /** Versions before 1.1 have no transfer codings. */
+    bool m_canBeCoded = false;
     std::vector<HttpHeader> m_headers;
     bool m_isComplete = false;
 };
--- a/src/libbulrushio/connection/curltransfer.cpp
+++ b/src/libbulrushio/connection/curltransfer.cpp
@@ -323,12 +323,10 @@
 void CurlTransfer::completeHead()
 {
     m_head = {m_answerHead.status(), m_answerHead.takeHeaders()};
-    const std::vector<std::string_view> lengths = fieldValues(m_head.headers, "Content-Length");
-    const bool hasEncoding = findField(m_head.headers, "Transfer-Encoding") != nullptr;
     const bool isBodyless =
         m_request.method == "HEAD" || m_head.status == noContent || m_head.status == notModified;
-    m_isHeadMalformed = lengths.size() + (hasEncoding ? 1 : 0) > 1;
-    m_isFramed = isBodyless || !lengths.empty() || hasEncoding;
+    m_isFramed = isBodyless || findField(m_head.headers, "Content-Length")
+        || findField(m_head.headers, "Transfer-Encoding");
     m_isMismatched = !hasMatchingEcho();
     m_isHeadComplete = !m_isMismatched;
     m_multi->scheduleDelivery(*this);
--- a/tests/bulrushctl/test_platformaccess.cpp
+++ b/tests/bulrushctl/test_platformaccess.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <string>
+#include <vector>
 
 using namespace bulrush;
 using namespace bulrush::ctl;
@@ -87,6 +88,33 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(answerInAnUnknownFramingLeavesTheOutcomeUnknown)
+{
+    const std::string committed = R"({"committed": true, "versions": [8]})";
+    const std::string length = std::to_string(committed.size());
+    const std::vector<std::string> fields{
+        "Transfer-Encoding: identity",
+        "Transfer-Encoding: xchunked",
+        "Content-Length:",
+        "Content-Length: +" + length,
+        "Content-Length: " + length + "a",
+        "Content-Length: " + length + "\r\nContent-Length: 5",
+        "Content-Length: 5\r\nTransfer-Encoding: identity",
+    };
+    for (const std::string &field : fields) {
+        const CommitResult result =
+            commitAfter("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n" + committed);
+        BOOST_CHECK_MESSAGE(result.outcome == CommitOutcome::Unknown, field);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answerWithoutALengthEndsWithItsConnection)
+{
+    const std::string committed = R"({"committed": true, "versions": [8]})";
+    const CommitResult result = commitAfter("HTTP/1.1 200 OK\r\n\r\n" + committed);
+    BOOST_CHECK(result.outcome == CommitOutcome::Committed);
+}
+
 BOOST_AUTO_TEST_CASE(closedEndpointIsReportedAsNotSentAndTheNextIsTried)
 {
     BOOST_CHECK((PlatformAccess{{closedEndpoint()}, 5s}.transact(transaction()).outcome)
--- a/tests/entryfleet/test_entrybrokenanswers.cpp
+++ b/tests/entryfleet/test_entrybrokenanswers.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -53,73 +54,75 @@
     BOOST_TEST(!result.header(stampField).has_value());
 }
 
-} // namespace
+/** What a server answers to the request with \a head. */
+using Answer = std::function<std::string(const std::string &head)>;
 
-BOOST_AUTO_TEST_CASE(answerWhoseStatusIsNoneReachesNoCaller)
+/**
+ * Checks that callers get a 502 in place of each of \a answers. The server answers uploads with
+ * them, one after the other, and all else soundly.
+ */
+void expectThatNoneIsPassedOn(const std::vector<Answer> &answers)
 {
-    const std::vector<std::string> statuses{"000", "00", "99", "0200", "1000", "999"};
     std::atomic<std::size_t> uploads = 0;
     ScriptedFleet fleet{[&](Socket &socket, int) -> asio::awaitable<void> {
         std::string buffer;
         for (;;) {
             const std::string head = co_await ScriptedServer::readHead(socket, buffer);
-            std::string answer = soundAnswerTo(head);
-            // What follows the broken answer must not be taken for the answer either.
-            if (isUpload(head))
-                answer = "HTTP/1.1 " + statuses.at(uploads++) + " Broken\r\n" + ownFields(head)
-                    + "Content-Length: 0\r\n\r\n" + answer;
-            co_await ScriptedServer::write(socket, answer);
+            const Answer &answer = isUpload(head) ? answers.at(uploads++) : soundAnswerTo;
+            co_await ScriptedServer::write(socket, answer(head));
         }
     }};
-    for (std::size_t sent = 1; sent <= statuses.size(); ++sent) {
+    for (std::size_t sent = 1; sent <= answers.size(); ++sent) {
         waitUntilUsed(fleet);
         expectBadGateway(fleet.send("a1", "POST", "/upload/x"));
+        // The upload may have run, so that it is not sent again.
         BOOST_TEST(uploads == sent);
     }
 }
 
+} // namespace
+
+BOOST_AUTO_TEST_CASE(answerWhoseStatusIsNoneReachesNoCaller)
+{
+    std::vector<Answer> answers;
+    for (const std::string status : {"000", "00", "99", "0200", "1000", "999"})
+        answers.emplace_back([status](const std::string &head) {
+            // What follows the broken answer must not be taken for the answer either.
+            return "HTTP/1.1 " + status + " Broken\r\n" + ownFields(head)
+                + "Content-Length: 0\r\n\r\n" + soundAnswerTo(head);
+        });
+    expectThatNoneIsPassedOn(answers);
+}
+
 BOOST_AUTO_TEST_CASE(answerWithAFieldThatIsNoneReachesNoCaller)
 {
-    const std::vector<std::string> lines{"Some Name: x", "Content-Length : 3", "Name\t: x",
-                                         "Na\x01me: x",  " continued: x",      "Name: a\x01"};
-    std::atomic<std::size_t> uploads = 0;
-    ScriptedFleet fleet{[&](Socket &socket, int) -> asio::awaitable<void> {
-        std::string buffer;
-        for (;;) {
-            const std::string head = co_await ScriptedServer::readHead(socket, buffer);
+    std::vector<Answer> answers;
+    for (const std::string line : {"Some Name: x", "Content-Length : 3", "Name\t: x", "Na\x01me: x",
+                                   " continued: x", "Name: a\x01"})
+        answers.emplace_back([line](const std::string &head) {
             std::string answer = soundAnswerTo(head);
-            // Behind the status line, so that the framing of the sound answer stays.
-            if (isUpload(head))
-                answer.insert(answer.find("\r\n") + 2, lines.at(uploads++) + "\r\n");
-            co_await ScriptedServer::write(socket, answer);
-        }
-    }};
-    for (std::size_t sent = 1; sent <= lines.size(); ++sent) {
-        waitUntilUsed(fleet);
-        expectBadGateway(fleet.send("a1", "POST", "/upload/x"));
-        BOOST_TEST(uploads == sent);
-    }
+            return answer.insert(answer.find("\r\n") + 2, line + "\r\n");
+        });
+    expectThatNoneIsPassedOn(answers);
 }
 
 BOOST_AUTO_TEST_CASE(brokenAnswerThatStatesThatTheRequestDidNotRunProvesNothing)
 {
-    std::atomic<int> uploads = 0;
-    ScriptedFleet fleet{[&](Socket &socket, int) -> asio::awaitable<void> {
-        std::string buffer;
-        for (;;) {
-            const std::string head = co_await ScriptedServer::readHead(socket, buffer);
-            std::string answer = soundAnswerTo(head);
-            if (isUpload(head)) {
-                ++uploads;
-                answer = "HTTP/1.1 503 Busy\r\n" + ownFields(head)
-                    + "X-Bulrushswitch-Not-Executed: 1\r\nSome Name: x\r\n"
-                      "Content-Length: 0\r\n\r\n";
-            }
-            co_await ScriptedServer::write(socket, answer);
-        }
-    }};
-    expectBadGateway(fleet.send("a1", "POST", "/upload/x"));
-    BOOST_TEST(uploads == 1);
+    expectThatNoneIsPassedOn({[](const std::string &head) {
+        return "HTTP/1.1 503 Busy\r\n" + ownFields(head)
+            + "X-Bulrushswitch-Not-Executed: 1\r\nSome Name: x\r\nContent-Length: 0\r\n\r\n";
+    }});
+}
+
+BOOST_AUTO_TEST_CASE(answerInAnotherCodingReachesNoCaller)
+{
+    std::vector<Answer> answers;
+    for (const std::string coding : {"gzip, chunked", "chunked, chunked", "identity"})
+        answers.emplace_back([coding](const std::string &head) {
+            return "HTTP/1.1 200 OK\r\n" + ownFields(head) + "Transfer-Encoding: " + coding
+                + "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+        });
+    expectThatNoneIsPassedOn(answers);
 }
 
 BOOST_AUTO_TEST_CASE(partOfAnAnswerThatIsResetDuringALongUploadIsNoAnswer)
--- a/tests/httpclient/test_httpclient.cpp
+++ b/tests/httpclient/test_httpclient.cpp
@@ -219,6 +219,18 @@
          TransportError::AnswerMalformed},
         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nA b: c\r\n\r\n",
          TransportError::AnswerMalformed},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nhi",
+         TransportError::AnswerMalformed},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+         TransportError::AnswerMalformed},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n\r\nhi",
+         TransportError::AnswerMalformed},
+        {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+         TransportError::AnswerMalformed},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 2a\r\n\r\nhi", TransportError::AnswerMalformed},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\n\r\nhi", TransportError::AnswerMalformed},
+        {"HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nhi", TransportError::AnswerMalformed},
+        {"HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nhi", TransportError::AnswerMalformed},
         {"HTTP/1.1  200 OK\r\nContent-Length: 2\r\n\r\nhi", TransportError::AnswerMalformed},
     };
     for (const Case &testCase : cases) {
--- a/tests/serverclient/test_answerparser.cpp
+++ b/tests/serverclient/test_answerparser.cpp
@@ -182,6 +182,53 @@
     BOOST_TEST(response.body == "hello");
 }
 
+BOOST_AUTO_TEST_CASE(answerInAnotherCodingIsMalformed)
+{
+    for (const std::string start :
+         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding:", "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked;a=b",
+          "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5"}) {
+        AnswerParser parser{bodyLimit};
+        parser.feed(start + "\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+        parser.finish();
+        BOOST_TEST(parser.error() == TransportError::AnswerMalformed, start);
+        BOOST_TEST(!parser.isComplete());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answerWhoseLengthIsNoneIsMalformed)
+{
+    for (const std::string length :
+         {"", "+5", "-5", "5a", "0x5", "5 5", "5, 5", "5;", "5.0", "99999999999999999999",
+          "5\r\nContent-Length: 5", "5\r\nContent-Length: 3"}) {
+        AnswerParser parser{bodyLimit};
+        parser.feed("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nhello");
+        parser.finish();
+        BOOST_TEST(parser.error() == TransportError::AnswerMalformed, length);
+        BOOST_TEST(!parser.isComplete());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(soundChunksAreAccepted)
+{
+    for (const std::string coding : {"chunked", "Chunked", "\tCHUNKED "}) {
+        AnswerParser parser{bodyLimit};
+        const std::string answer = "HTTP/1.1 200 OK\r\ntransfer-encoding:" + coding
+            + "\r\n\r\n005;a=b;c=\"d\"\r\nhello\r\n1 \r\n!\r\n0\r\nTrailer: \xff\r\n\r\n";
+        BOOST_TEST(parser.feed(answer) == answer.size());
+        BOOST_REQUIRE(parser.isComplete());
+        BOOST_TEST(parser.keepsConnection());
+        BOOST_TEST(parser.takeResponse().body == "hello!");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(answerToHeadHasNoBody)
 {
     AnswerParser parser{bodyLimit};
