bulrushctl: take no answer that ends within its head

What operators would see: an answer cut off in its head counted as complete, with the status of its first line and an empty body. What was asked for may or may not have taken effect.

Cause: libcurl reports success for it; CurlTransfer checks this, bulrushctl did not.

Change: fetch() reports "unknown" with "the answer is truncated" unless the head is that of a complete final answer.

Evidence: test_platformaccess: answerThatEndsInItsHeadLeavesTheOutcomeUnknown is red before, green after. The part of an answer without a length that is reset while a long request is being written was an error already, with resets 0 to 300 ms after it, as libcurl fails with its own write: only the test is new. An answer without a length that closes in order stays a complete one.

--- a/src/bulrushctl/blockinghttp.cpp
+++ b/src/bulrushctl/blockinghttp.cpp
@@ -1,6 +1,7 @@
 #include "blockinghttp.h"
 
 #include "connection/answerhead.h"
+#include "connection/transporterror.h"
 #include "exitcode.h"
 
 #include <curl/curl.h>
@@ -78,6 +79,13 @@
     curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
 }
 
+/** \returns the result of a call that may have taken effect, with \a cause in place of an answer.
+ */
+BlockingAnswer unknownOutcome(std::error_code cause)
+{
+    return {make_error_code(CtlError::Unknown), cause.message(), 0, {}};
+}
+
 bool hasSentBytes(CURL *handle)
 {
     long bytes = 0;
@@ -101,7 +109,7 @@
 
     const CURLcode code = curl_easy_perform(handle.get());
     if (received.headError)
-        return {make_error_code(CtlError::Unknown), received.headError.message(), 0, {}};
+        return unknownOutcome(received.headError);
     if (code != CURLE_OK) {
         const bool isSent = hasSentBytes(handle.get());
         return {make_error_code(isSent ? CtlError::Unknown : CtlError::Unreachable),
@@ -109,6 +117,9 @@
                 0,
                 {}};
     }
+    // libcurl takes an answer that ends within its head for a complete one.
+    if (!received.head.isFinal())
+        return unknownOutcome(io::TransportError::AnswerTruncated);
     return {{}, {}, received.head.status(), std::move(received.body)};
 }
 
--- a/tests/bulrushctl/test_platformaccess.cpp
+++ b/tests/bulrushctl/test_platformaccess.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE PlatformAccess
 
+#include "blockinghttp.h"
 #include "exitcode.h"
 #include "platformaccess.h"
 #include "process/jsonreader.h"
@@ -7,7 +8,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace bulrush;
@@ -108,6 +112,41 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(answerThatEndsInItsHeadLeavesTheOutcomeUnknown)
+{
+    ScriptedServer platform{{"HTTP/1.1 200 OK\r\nContent-Le"}};
+    const BlockingAnswer cut =
+        fetch({"GET", "http://" + toString(platform.endpoint()) + "/rows", {}, 5s});
+    BOOST_CHECK(cut.error == make_error_code(CtlError::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(partOfAnAnswerThatIsResetDuringALongRequestIsNoAnswer)
+{
+    // Far more than the buffers of both sockets hold, so that it is never sent whole.
+    const std::string body(std::size_t{24} << 20, 'b');
+    for (const auto pauseBeforeReset : {0ms, 20ms, 100ms, 300ms}) {
+        asio::io_context loop;
+        asio::ip::tcp::acceptor acceptor{loop, {asio::ip::address_v4::loopback(), 0}};
+        const Endpoint endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+        std::thread server{[&] {
+            asio::ip::tcp::socket socket = acceptor.accept();
+            std::string head;
+            asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n");
+            asio::write(socket, asio::buffer(std::string{"HTTP/1.1 100 Continue\r\n\r\n"}));
+            std::array<char, 1> firstOfBody{};
+            asio::read(socket, asio::buffer(firstOfBody));
+            asio::write(socket, asio::buffer(std::string{"HTTP/1.1 200 OK\r\n\r\n{}"}));
+            std::this_thread::sleep_for(pauseBeforeReset);
+            socket.set_option(asio::socket_base::linger{true, 0});
+            socket.close();
+        }};
+        const BlockingAnswer reset =
+            fetch({"POST", "http://" + toString(endpoint) + "/rows", body, 5s});
+        server.join();
+        BOOST_CHECK_EQUAL(reset.error, make_error_code(CtlError::Unknown));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(answerWithoutALengthEndsWithItsConnection)
 {
     const std::string committed = R"({"committed": true, "versions": [8]})";
