Take no body whose chunks RFC 9112 does not allow

What callers would see: an answer that is broken between its chunks, as 200 with the server's stamp: bytes in place of the line end after a chunk, or a line in the trailer that is no field.

Cause: http_parser, as it is built on our platforms, skips the bytes where the line end of a chunk's size and data are due without looking at them, allows anything after a size, and blanks in the names of a trailer.

Change: ChunkFraming checks the bytes of a body in chunks beside the parser: hexadecimal sizes with blanks or extensions after them, CRLF after each, and fields, checked by fieldIn(), up to the end of the trailer. An answer is whole only if both agree that it is. libcurl reads chunks strictly enough: two cases in test_httpclient were errors before, nothing changed for them.

Evidence, before and after: of 21 such bodies test_answerparser stops at the first, which passes for a whole one, and all are malformed after, each split at any byte; a line without an end was read on without a bound, and is too long after 64 KiB, as in heads; test_entrybrokenanswers: three of four reached the caller as 200, and all give 502 after. Sound chunks, split at any byte, with extensions, a trailer and bytes of the next answer behind them, are accepted before and after.

--- a/src/libbulrushio/connection/answerhead.cpp
+++ b/src/libbulrushio/connection/answerhead.cpp
@@ -18,6 +18,7 @@
 constexpr int lastStatus = 599;
 constexpr std::size_t statusDigits = 3;
 constexpr std::string_view versionPrefix = "HTTP/1.";
+constexpr std::string_view codingField = "Transfer-Encoding";
 constexpr std::string_view versionWithoutCodings = "HTTP/1.0";
 
 bool isDigit(char c)
@@ -55,6 +56,7 @@
     m_status = 0;
     m_headers.clear();
     m_isComplete = false;
+    m_isChunked = false;
 }
 
 std::error_code AnswerHead::readLine(std::string_view line)
@@ -67,10 +69,8 @@
     // Empty lines before an answer change nothing in it.
     if (m_status == 0)
         return line.empty() ? std::error_code{} : readStatusLine(line);
-    if (line.empty()) {
-        m_isComplete = true;
-        return !isFinal() || isFramingKnown() ? std::error_code{} : TransportError::AnswerMalformed;
-    }
+    if (line.empty())
+        return complete();
     std::optional<HttpHeader> field = fieldIn(line);
     if (!field)
         return TransportError::AnswerMalformed;
@@ -99,6 +99,14 @@
     return {};
 }
 
+std::error_code AnswerHead::complete()
+{
+    m_isComplete = true;
+    m_isChunked = findField(m_headers, codingField) != nullptr;
+    // Interim answers have no body, whatever their fields state.
+    return !isFinal() || isFramingKnown() ? std::error_code{} : TransportError::AnswerMalformed;
+}
+
 /**
  * \returns whether the fields state in one way where a body ends, or not at all. No request asks
  * for another coding than chunks.
@@ -106,7 +114,7 @@
 bool AnswerHead::isFramingKnown() const
 {
     const std::vector<std::string_view> lengths = fieldValues(m_headers, "Content-Length");
-    const std::vector<std::string_view> codings = fieldValues(m_headers, "Transfer-Encoding");
+    const std::vector<std::string_view> codings = fieldValues(m_headers, codingField);
     if (codings.empty())
         return lengths.empty() || (lengths.size() == 1 && isLength(lengths.front()));
     return lengths.empty() && codings.size() == 1 && m_canBeCoded
--- a/src/libbulrushio/connection/answerhead.h
+++ b/src/libbulrushio/connection/answerhead.h
@@ -34,6 +34,9 @@
     /** \returns whether the head is complete and that of a final answer. */
     bool isFinal() const;
 
+    /** \returns whether a body, if there is one, is in chunks. \pre isFinal() */
+    bool isChunked() const;
+
     /** \returns the status, or 0 before the status line. */
     int status() const;
 
@@ -45,6 +48,7 @@
 
 private:
     std::error_code readStatusLine(std::string_view line);
+    std::error_code complete();
     bool isFramingKnown() const;
 
     int m_status = 0;
@@ -52,6 +56,7 @@
     bool m_canBeCoded = false;
     std::vector<HttpHeader> m_headers;
     bool m_isComplete = false;
+    bool m_isChunked = false;
 };
 
 inline bool AnswerHead::isComplete() const
@@ -59,6 +64,11 @@
     return m_isComplete;
 }
 
+inline bool AnswerHead::isChunked() const
+{
+    return m_isChunked;
+}
+
 inline int AnswerHead::status() const
 {
     return m_status;
--- a/src/libbulrushio/connection/answerparser.cpp
+++ b/src/libbulrushio/connection/answerparser.cpp
@@ -18,18 +18,12 @@
 constexpr std::uint64_t copiesHeld = 2;
 constexpr std::string_view timeoutParameter = "timeout=";
 
-/** \returns the length of the first line in \a bytes with its end, if that is there. */
-std::size_t lengthOfLine(std::string_view bytes)
-{
-    const std::size_t end = bytes.find('\n');
-    return end == std::string_view::npos ? bytes.size() : end + 1;
-}
-
 } // namespace
 
 AnswerParser::AnswerParser(std::size_t bodyLimit, std::shared_ptr<MemoryAccount> memory)
     : m_bodyLimit(bodyLimit)
     , m_memory(std::move(memory))
+    , m_chunks(maxHeaderBytes)
 {
     begin(false);
 }
@@ -43,6 +37,7 @@
     m_error = {};
     m_head.reset();
     m_line.clear();
+    m_chunks.reset();
     m_headerBytes = 0;
     m_isHead = isHead;
     m_hasBegun = false;
@@ -56,7 +51,7 @@
     while (consumed < bytes.size() && !m_isComplete && !m_error) {
         m_hasBegun = true;
         const std::string_view rest = bytes.substr(consumed);
-        consumed += m_head.isComplete() ? parse(rest) : feedHead(rest);
+        consumed += m_head.isComplete() ? feedBody(rest) : feedHead(rest);
     }
     return consumed;
 }
@@ -81,6 +76,20 @@
         parse(line);
 }
 
+/** Parses what belongs to the body. \returns the number of bytes consumed. */
+std::size_t AnswerParser::feedBody(std::string_view bytes)
+{
+    const std::size_t consumed = parse(bytes);
+    if (m_error || !m_head.isChunked())
+        return consumed;
+    m_error = m_chunks.check(bytes.substr(0, consumed));
+    if (m_isComplete && !m_error && !m_chunks.isComplete())
+        m_error = TransportError::AnswerMalformed;
+    if (m_error)
+        m_isComplete = false;
+    return consumed;
+}
+
 /** Passes \a bytes to the parser. \returns the number of bytes consumed. */
 std::size_t AnswerParser::parse(std::string_view bytes)
 {
--- a/src/libbulrushio/connection/answerparser.h
+++ b/src/libbulrushio/connection/answerparser.h
@@ -2,6 +2,7 @@
 
 #include "admission/memoryholder.h"
 #include "connection/answerhead.h"
+#include "connection/chunkframing.h"
 #include "connection/httpclient.h"
 
 #include <http_parser.h>
@@ -69,6 +70,7 @@
     static int onBody(http_parser *parser, const char *at, std::size_t length);
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &callbacks();
+    std::size_t feedBody(std::string_view bytes);
     std::size_t feedHead(std::string_view bytes);
     void parseHeadLine(std::string_view line);
     std::size_t parse(std::string_view bytes);
@@ -81,6 +83,7 @@
     AnswerHead m_head;
     /** The beginning of the next line of the head. */
     std::string m_line;
+    ChunkFraming m_chunks;
     HttpResponse m_response;
     std::error_code m_error;
     std::size_t m_headerBytes = 0;
--- a/src/libbulrushio/connection/curltransfer.cpp
+++ b/src/libbulrushio/connection/curltransfer.cpp
@@ -325,8 +325,8 @@
     m_head = {m_answerHead.status(), m_answerHead.takeHeaders()};
     const bool isBodyless =
         m_request.method == "HEAD" || m_head.status == noContent || m_head.status == notModified;
-    m_isFramed = isBodyless || findField(m_head.headers, "Content-Length")
-        || findField(m_head.headers, "Transfer-Encoding");
+    m_isFramed =
+        isBodyless || m_answerHead.isChunked() || findField(m_head.headers, "Content-Length");
     m_isMismatched = !hasMatchingEcho();
     m_isHeadComplete = !m_isMismatched;
     m_multi->scheduleDelivery(*this);
--- a/src/libbulrushio/connection/httpfield.cpp
+++ b/src/libbulrushio/connection/httpfield.cpp
@@ -48,6 +48,12 @@
     return isToken(header.name) && isFieldText(header.value);
 }
 
+std::size_t lengthOfLine(std::string_view bytes)
+{
+    const std::size_t end = bytes.find('\n');
+    return end == std::string_view::npos ? bytes.size() : end + 1;
+}
+
 std::string_view withoutLineEnd(std::string_view line)
 {
     if (line.ends_with('\n'))
--- a/src/libbulrushio/connection/httpfield.h
+++ b/src/libbulrushio/connection/httpfield.h
@@ -21,6 +21,9 @@
 /** \returns whether \a header has no characters that could break out of its line. Thread safe. */
 bool isSafeField(const HttpHeader &header);
 
+/** \returns the length of the first line in \a bytes with its LF, if that is there. Thread safe. */
+std::size_t lengthOfLine(std::string_view bytes);
+
 /** \returns \a line without its line end, CRLF or LF, if it has one. Thread safe. */
 std::string_view withoutLineEnd(std::string_view line);
 
--- a/tests/entryfleet/test_entrybrokenanswers.cpp
+++ b/tests/entryfleet/test_entrybrokenanswers.cpp
@@ -125,6 +125,19 @@
     expectThatNoneIsPassedOn(answers);
 }
 
+BOOST_AUTO_TEST_CASE(answerWhoseChunksAreNoneReachesNoCaller)
+{
+    std::vector<Answer> answers;
+    for (const std::string body :
+         {"5\r\nwhole body\r\n0\r\n\r\n", "5\r\nwholeXY0\r\n\r\n", "5\rXwhole\r\n0\r\n\r\n",
+          "5\r\nwhole\r\n0\r\nSome Name: x\r\n\r\n"})
+        answers.emplace_back([body](const std::string &head) {
+            return "HTTP/1.1 200 OK\r\n" + ownFields(head) + "Transfer-Encoding: chunked\r\n\r\n"
+                + body;
+        });
+    expectThatNoneIsPassedOn(answers);
+}
+
 BOOST_AUTO_TEST_CASE(partOfAnAnswerThatIsResetDuringALongUploadIsNoAnswer)
 {
     // From a reset that comes with the answer to one that comes when the daemon waits to write.
--- a/tests/httpclient/test_httpclient.cpp
+++ b/tests/httpclient/test_httpclient.cpp
@@ -231,6 +231,10 @@
         {"HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\n\r\nhi", TransportError::AnswerMalformed},
         {"HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nhi", TransportError::AnswerMalformed},
         {"HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nhi", TransportError::AnswerMalformed},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhiXY0\r\n\r\n",
+         TransportError::AnswerTruncated},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\nhi\r\n0\r\n\r\n",
+         TransportError::AnswerTruncated},
         {"HTTP/1.1  200 OK\r\nContent-Length: 2\r\n\r\nhi", TransportError::AnswerMalformed},
     };
     for (const Case &testCase : cases) {
--- a/tests/serverclient/test_answerparser.cpp
+++ b/tests/serverclient/test_answerparser.cpp
@@ -216,6 +216,62 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(answerWhoseChunksAreNoneIsMalformed)
+{
+    for (const std::string body : {"5\r\nhelloXY0\r\n\r\n",
+                                   "5\r\nhello\rX0\r\n\r\n",
+                                   "5\rXhello\r\n0\r\n\r\n",
+                                   "5\nhello\r\n0\r\n\r\n",
+                                   "5\r\nhello\n0\r\n\r\n",
+                                   "5\r\nhello0\r\n\r\n",
+                                   "5\r\nhello\r\n0\r\n\rX",
+                                   "5\r\nhello\r\n0\rX\r\n",
+                                   "5 6\r\nhello\r\n0\r\n\r\n",
+                                   "5 a=b\r\nhello\r\n0\r\n\r\n",
+                                   "5;\x01\r\nhello\r\n0\r\n\r\n",
+                                   "+5\r\nhello\r\n0\r\n\r\n",
+                                   "0x5\r\nhello\r\n0\r\n\r\n",
+                                   " 5\r\nhello\r\n0\r\n\r\n",
+                                   "\r\n5\r\nhello\r\n0\r\n\r\n",
+                                   "5\r\nhello\r\n\r\n",
+                                   ";a=b\r\nhello\r\n0\r\n\r\n",
+                                   "10000000000000005\r\nhello\r\n0\r\n\r\n",
+                                   "5\r\nhello\r\n0\r\nSome Name: x\r\n\r\n",
+                                   "5\r\nhello\r\n0\r\n continued\r\n\r\n",
+                                   "5\r\nhello\r\n0\r\nName: \x01\r\n\r\n"}) {
+        const std::string answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body;
+        for (std::size_t splitAt = 0; splitAt <= answer.size(); ++splitAt) {
+            AnswerParser parser{bodyLimit};
+            parser.feed(std::string_view{answer}.substr(0, splitAt));
+            if (!parser.error() && splitAt < answer.size())
+                parser.feed(std::string_view{answer}.substr(splitAt));
+            BOOST_TEST(parser.error() == TransportError::AnswerMalformed, body);
+            BOOST_REQUIRE(!parser.isComplete());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(endlessLineBetweenChunksIsTooLong)
+{
+    AnswerParser parser{bodyLimit};
+    parser.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;"
+                + std::string(70'000, 'x'));
+    BOOST_TEST(parser.error() == TransportError::AnswerTooLarge);
+}
+
+BOOST_AUTO_TEST_CASE(soundChunksAreAcceptedSplitAtAnyByte)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "5;a=b\r\nhello\r\n1\r\n!\r\n00\r\nA: b\r\nC:\n\r\n";
+    for (std::size_t splitAt = 0; splitAt < answer.size(); ++splitAt) {
+        AnswerParser parser{bodyLimit};
+        BOOST_TEST(parser.feed(std::string_view{answer}.substr(0, splitAt)) == splitAt);
+        BOOST_TEST(parser.feed(answer.substr(splitAt) + completeAnswer) == answer.size() - splitAt);
+        BOOST_REQUIRE(parser.isComplete());
+        BOOST_TEST(parser.takeResponse().body == "hello!");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(soundChunksAreAccepted)
 {
     for (const std::string coding : {"chunked", "Chunked", "\tCHUNKED "}) {
