Read no body after interim answers, 204 and 304

What callers would see: a 304 that states the length of what it stands for, as RFC 9110 allows, ended in a time-out, since AnswerParser waited for that body; bytes after a 204 were its body; and an interim answer with a length took the beginning of the answer after it for its body, which gave a 502.

Cause: http_parser goes by the fields unless it is told that there is no body; we told it for answers to HEAD only.

Change: AnswerHead says by the status whether an answer has a body. AnswerParser and CurlTransfer, which had such a list of its own, ask it.

Evidence: test_answerparser 6 failed checks before, none after. CurlTransfer handled the three cases in test_httpclient before; the test stays.

--- a/src/libbulrushio/connection/answerhead.cpp
+++ b/src/libbulrushio/connection/answerhead.cpp
@@ -15,6 +15,8 @@
 constexpr int firstStatus = 100;
 constexpr int switchingProtocols = 101;
 constexpr int firstFinalStatus = 200;
+constexpr int noContent = 204;
+constexpr int notModified = 304;
 constexpr int lastStatus = 599;
 constexpr std::size_t statusDigits = 3;
 constexpr std::string_view versionPrefix = "HTTP/1.";
@@ -83,6 +85,11 @@
     return m_isComplete && m_status >= firstFinalStatus;
 }
 
+bool AnswerHead::isBodyless() const
+{
+    return m_status < firstFinalStatus || m_status == noContent || m_status == notModified;
+}
+
 std::vector<HttpHeader> AnswerHead::takeHeaders()
 {
     return std::exchange(m_headers, {});
@@ -103,7 +110,6 @@
 {
     m_isComplete = true;
     m_isChunked = findField(m_headers, codingField) != nullptr;
-    // Interim answers have no body, whatever their fields state.
     return !isFinal() || isFramingKnown() ? std::error_code{} : TransportError::AnswerMalformed;
 }
 
--- a/src/libbulrushio/connection/answerhead.h
+++ b/src/libbulrushio/connection/answerhead.h
@@ -34,6 +34,9 @@
     /** \returns whether the head is complete and that of a final answer. */
     bool isFinal() const;
 
+    /** \returns whether answers of this status have no body, whatever the fields state. */
+    bool isBodyless() const;
+
     /** \returns whether a body, if there is one, is in chunks. \pre isFinal() */
     bool isChunked() const;
 
--- a/src/libbulrushio/connection/answerparser.cpp
+++ b/src/libbulrushio/connection/answerparser.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t maxHeaderBytes = std::size_t{64} * 1024;
 /** A body is copied when its room grows, and when its answer is written. */
 constexpr std::uint64_t copiesHeld = 2;
+/** What the parser's callback returns after the head of an answer without a body. */
+constexpr int skipsBody = 1;
 constexpr std::string_view timeoutParameter = "timeout=";
 
 } // namespace
@@ -164,8 +166,8 @@
     AnswerParser &answer = self(parser);
     answer.m_response.status = answer.m_head.status();
     answer.m_response.headers = answer.m_head.takeHeaders();
-    if (answer.m_isHead)
-        return 1;
+    if (answer.m_isHead || answer.m_head.isBodyless())
+        return skipsBody;
     const bool hasLength = parser->content_length != ULLONG_MAX;
     return !hasLength || answer.reserveBody(parser->content_length) ? 0 : -1;
 }
--- a/src/libbulrushio/connection/curltransfer.cpp
+++ b/src/libbulrushio/connection/curltransfer.cpp
@@ -14,8 +14,6 @@
 
 constexpr std::string_view urlScheme = "http://";
 constexpr std::size_t maxResponseFields = 256;
-constexpr int notModified = 304;
-constexpr int noContent = 204;
 
 /** \returns the size of the head that libcurl sends if it adds no field except Host. */
 std::size_t minHeadSize(const HttpRequest &request)
@@ -323,8 +321,7 @@
 void CurlTransfer::completeHead()
 {
     m_head = {m_answerHead.status(), m_answerHead.takeHeaders()};
-    const bool isBodyless =
-        m_request.method == "HEAD" || m_head.status == noContent || m_head.status == notModified;
+    const bool isBodyless = m_request.method == "HEAD" || m_answerHead.isBodyless();
     m_isFramed =
         isBodyless || m_answerHead.isChunked() || findField(m_head.headers, "Content-Length");
     m_isMismatched = !hasMatchingEcho();
--- a/tests/httpclient/test_httpclient.cpp
+++ b/tests/httpclient/test_httpclient.cpp
@@ -250,6 +250,24 @@
     }
 }
 
+BOOST_FIXTURE_TEST_CASE(answersWithoutContentHaveNoBody, Fixture)
+{
+    for (const std::string answer :
+         {"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "HTTP/1.1 103 Hints\r\nContent-Length: 5\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"}) {
+        ScriptedServer server{loop, [&](Socket &socket, int) -> asio::awaitable<void> {
+                                  std::string buffer;
+                                  co_await ScriptedServer::readHead(socket, buffer);
+                                  co_await ScriptedServer::write(socket, answer);
+                                  co_await ScriptedServer::drain(socket);
+                              }};
+        const HttpResult result = fetch(get(server.url()));
+        BOOST_TEST(!result.error, answer);
+        BOOST_TEST(result.response.body.empty());
+    }
+}
+
 namespace {
 
 /** Answers the first request of a connection, closes it after the second, and counts requests. */
--- a/tests/serverclient/test_answerparser.cpp
+++ b/tests/serverclient/test_answerparser.cpp
@@ -285,6 +285,33 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(interimAnswerHasNoBodyWhateverItsFieldsState)
+{
+    for (const std::string field : {"Content-Length: 5", "Transfer-Encoding: chunked", "Name: x"}) {
+        AnswerParser parser{bodyLimit};
+        parser.feed("HTTP/1.1 103 Hints\r\n" + field + "\r\n\r\n" + completeAnswer);
+        BOOST_TEST(!parser.error(), field);
+        BOOST_REQUIRE(parser.isComplete());
+        BOOST_TEST(parser.takeResponse().body == "hello");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answerWithoutContentHasNoBodyWhateverItsFieldsState)
+{
+    for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+        for (const std::string field :
+             {"Content-Length: 5", "Content-Length: 0", "Transfer-Encoding: chunked", "Name: x"}) {
+            AnswerParser parser{bodyLimit};
+            const std::string answer = "HTTP/1.1 " + status + "\r\n" + field + "\r\n\r\n";
+            BOOST_TEST(parser.feed(answer + completeAnswer) == answer.size());
+            BOOST_TEST(!parser.error(), answer);
+            BOOST_REQUIRE(parser.isComplete());
+            BOOST_TEST(parser.keepsConnection());
+            BOOST_TEST(parser.takeResponse().body.empty());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(answerToHeadHasNoBody)
 {
     AnswerParser parser{bodyLimit};
