Tests of broken answers at the store's client and at relays

The store's client and relays read answers with the parser of answers of servers. All are unknown outcomes now.

--- a/tests/forwardworker/test_peerrelays.cpp
+++ b/tests/forwardworker/test_peerrelays.cpp
@@ -65,6 +65,10 @@
             co_await ScriptedServer::write(socket, start + "Connection: close\r\n\r\nwhole");
             co_return;
         }
+        if (head.find("/unnamed") != std::string::npos)
+            start += "Some Name: x\r\n";
+        if (head.find("/no-status") != std::string::npos)
+            start.replace(start.find("200"), 3, "000");
         if (head.find("/truncated") != std::string::npos) {
             co_await ScriptedServer::write(socket, start + "Content-Length: 100\r\n\r\npart");
             co_return;
@@ -188,6 +192,17 @@
     BOOST_TEST(record.wasClosed);
 }
 
+BOOST_FIXTURE_TEST_CASE(brokenAnswerToARelayIsAnUnknownOutcome, Fixture)
+{
+    for (const std::string path : {"/pay/unnamed", "/pay/no-status", "/pay/truncated"}) {
+        const SyncHttpResult result = cutOff.send(path, "euro=1");
+        BOOST_TEST(result.status == 502, path);
+        BOOST_TEST(result.body.find("euro=1") == std::string::npos, path);
+        BOOST_TEST(cutOff.send("/pay").status == 200);
+    }
+    BOOST_TEST(record.heads().size() == 6U);
+}
+
 BOOST_FIXTURE_TEST_CASE(lostRelayIsAnUnknownOutcome, Fixture)
 {
     std::thread ending{[this] {
--- a/tests/platformadapter/test_storeclient.cpp
+++ b/tests/platformadapter/test_storeclient.cpp
@@ -24,6 +24,12 @@
 
 namespace {
 
+Endpoint endpointOf(const ScriptedServer &server)
+{
+    const std::string url = server.url("");
+    return *io::endpoint(io::PortZero::Refused).parse(url.substr(std::string{"http://"}.size()));
+}
+
 struct Fixture
 {
     ChildProcess process{std::string{BULRUSH_BINARY_DIR} + "/store-standin",
@@ -121,6 +127,36 @@
     BOOST_TEST((rows.rows[501].key == last + '\x01'));
 }
 
+BOOST_AUTO_TEST_CASE(brokenAnswerLeavesTheOutcomeOfACommitUnknown)
+{
+    const std::string body = R"({"rowVersion":4,"nowS":1.0})";
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    const std::vector<std::string> heads{
+        "HTTP/1.1 000 OK\r\n" + length,
+        "HTTP/1.1 0503 Busy\r\n" + length,
+        "HTTP/1.1 503 Busy\r\nSome Name: x\r\n" + length,
+        "HTTP/1.1 200 OK\r\nSome Name: x\r\n" + length,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n",
+    };
+    for (const std::string &head : heads) {
+        asio::io_context loop;
+        ScriptedServer server{loop,
+                              [&](ScriptedServer::Socket &socket, int) -> asio::awaitable<void> {
+                                  std::string buffer;
+                                  co_await ScriptedServer::readHead(socket, buffer);
+                                  co_await ScriptedServer::write(socket, head + "\r\n" + body);
+                              }};
+        io::ServerClient client{loop};
+        StoreClient store{client, endpointOf(server)};
+        std::optional<CommitOutcome> outcome;
+        store.commit({"t", {{"a", 0, "1"}}},
+                     [&](CommitOutcome received) { outcome = std::move(received); });
+        while (!outcome && loop.run_one() > 0) { }
+        BOOST_REQUIRE(outcome.has_value());
+        BOOST_TEST(outcome->error == StoreError::Unknown, head);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(truncatedPageWithoutNewRowsIsABadAnswer)
 {
     const std::string row = R"({"table":"t","part":"","key":"a","value":"dg==","rowVersion":3})";
@@ -141,11 +177,8 @@
                                       co_await ScriptedServer::write(socket, answer);
                                   }
                               }};
-        const std::string url = server.url("");
         io::ServerClient client{loop};
-        StoreClient store{
-            client,
-            *io::endpoint(io::PortZero::Refused).parse(url.substr(std::string{"http://"}.size()))};
+        StoreClient store{client, endpointOf(server)};
         std::optional<RowsOutcome> outcome;
         store.read("t", [&](RowsOutcome received) { outcome = std::move(received); });
         while (!outcome && loop.run_one() > 0) { }
