--- a/src/bulrushctl/blockinghttp.cpp
+++ b/src/bulrushctl/blockinghttp.cpp
@@ -46,7 +46,7 @@
 struct ReceivedAnswer
 {
     io::AnswerHead head;
-    /** Why the head is none, if so. */
+    /** Why the head is not that of an answer, if so. */
     std::error_code headError;
     std::string body;
 };
--- a/src/libbulrushio/connection/answerhead.cpp
+++ b/src/libbulrushio/connection/answerhead.cpp
@@ -20,8 +20,8 @@
 constexpr int lastStatus = 599;
 constexpr std::size_t statusDigits = 3;
 constexpr std::string_view versionPrefix = "HTTP/1.";
-constexpr std::string_view codingField = "Transfer-Encoding";
 constexpr std::string_view versionWithoutCodings = "HTTP/1.0";
+constexpr std::string_view codingField = "Transfer-Encoding";
 
 bool isDigit(char c)
 {
--- a/src/libbulrushio/connection/answerparser.cpp
+++ b/src/libbulrushio/connection/answerparser.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t maxHeaderBytes = std::size_t{64} * 1024;
 /** A body is copied when its room grows, and when its answer is written. */
 constexpr std::uint64_t copiesHeld = 2;
-/** What the parser's callback returns after the head of an answer without a body. */
+/** What the library's callback returns after the head of an answer without a body. */
 constexpr int skipsBody = 1;
 constexpr std::string_view timeoutParameter = "timeout=";
 
@@ -70,7 +70,7 @@
     return length;
 }
 
-/** Only lines that an answer may have reach the parser, which would accept others, too. */
+/** Only lines that an answer may have reach the library's parser, which accepts others, too. */
 void AnswerParser::parseHeadLine(std::string_view line)
 {
     m_error = m_head.readLine(line);
@@ -92,7 +92,7 @@
     return consumed;
 }
 
-/** Passes \a bytes to the parser. \returns the number of bytes consumed. */
+/** Passes \a bytes to the library's parser. \returns the number of bytes consumed. */
 std::size_t AnswerParser::parse(std::string_view bytes)
 {
     const std::size_t consumed =
--- a/src/libbulrushio/connection/answerparser.h
+++ b/src/libbulrushio/connection/answerparser.h
@@ -87,6 +87,7 @@
     HttpResponse m_response;
     std::error_code m_error;
     std::size_t m_headerBytes = 0;
+    /** The request's method is HEAD. */
     bool m_isHead = false;
     bool m_hasBegun = false;
     bool m_isComplete = false;
