Say "invalid" in the tests of broken answers, and read chunk lines plainly

Tests that were named after a status, field, length or chunks that "is none" had to be read twice. m_isHeadMalformed stood for lines of the trailer, too. ChunkFraming::readLine() returns early in place of one flag through a switch. Comments say what RFC 9112 allows; a length in the tests gets its name.

Names, comments and flow only: no check and no expectation changed.

--- a/src/bulrushctl/blockinghttp.cpp
+++ b/src/bulrushctl/blockinghttp.cpp
@@ -42,21 +42,21 @@
     return bytes;
 }
 
-/** What has come of an answer. */
+/** The part of an answer that was received. */
 struct ReceivedAnswer
 {
     io::AnswerHead head;
-    /** Why the head is not that of an answer, if so. */
-    std::error_code headError;
+    /** Why a line of the head or of the trailer is invalid, if one is. */
+    std::error_code lineError;
     std::string body;
 };
 
-std::size_t readHeadLine(const char *data, std::size_t size, std::size_t count, void *target)
+std::size_t readLine(const char *data, std::size_t size, std::size_t count, void *target)
 {
     auto &received = *static_cast<ReceivedAnswer *>(target);
     const std::size_t bytes = size * count;
-    received.headError = received.head.readLine({data, bytes});
-    return received.headError ? 0 : bytes;
+    received.lineError = received.head.readLine({data, bytes});
+    return received.lineError ? 0 : bytes;
 }
 
 void setOptions(CURL *handle, const BlockingRequest &request, ReceivedAnswer &received)
@@ -70,7 +70,7 @@
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, appendTo);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &received.body);
-    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, readHeadLine);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, readLine);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &received);
     if (request.method == "GET")
         return;
@@ -79,8 +79,7 @@
     curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
 }
 
-/** \returns the result of a call that may have taken effect, with \a cause in place of an answer.
- */
+/** \returns the result of a call without a valid answer, which may have taken effect. */
 BlockingAnswer unknownOutcome(std::error_code cause)
 {
     return {make_error_code(CtlError::Unknown), cause.message(), 0, {}};
@@ -108,8 +107,8 @@
     curl_easy_setopt(handle.get(), CURLOPT_HTTPHEADER, headers.get());
 
     const CURLcode code = curl_easy_perform(handle.get());
-    if (received.headError)
-        return unknownOutcome(received.headError);
+    if (received.lineError)
+        return unknownOutcome(received.lineError);
     if (code != CURLE_OK) {
         const bool isSent = hasSentBytes(handle.get());
         return {make_error_code(isSent ? CtlError::Unknown : CtlError::Unreachable),
--- a/src/libbulrushio/connection/answerhead.cpp
+++ b/src/libbulrushio/connection/answerhead.cpp
@@ -114,8 +114,8 @@
 }
 
 /**
- * \returns whether the fields state in one way where a body ends, or not at all. No request asks
- * for another coding than chunks.
+ * \returns whether the fields state one length, or chunks, or neither. No request asks for any
+ * other transfer coding.
  */
 bool AnswerHead::isFramingKnown() const
 {
--- a/src/libbulrushio/connection/answerparser.cpp
+++ b/src/libbulrushio/connection/answerparser.cpp
@@ -70,7 +70,7 @@
     return length;
 }
 
-/** Only lines that an answer may have reach the library's parser, which accepts others, too. */
+/** Passes \a line to the library's parser if RFC 9112 allows it; the parser accepts more. */
 void AnswerParser::parseHeadLine(std::string_view line)
 {
     m_error = m_head.readLine(line);
--- a/src/libbulrushio/connection/chunkframing.cpp
+++ b/src/libbulrushio/connection/chunkframing.cpp
@@ -40,8 +40,8 @@
             return TransportError::AnswerTooLarge;
         if (!m_line.ends_with('\n'))
             return {};
-        if (const std::error_code error = endLine())
-            return error;
+        if (!readLine(std::exchange(m_line, {})))
+            return TransportError::AnswerMalformed;
     }
     return {};
 }
@@ -56,28 +56,26 @@
     return skipped;
 }
 
-std::error_code ChunkFraming::endLine()
+/** \returns whether RFC 9112 allows \a line, which has its line end, in the current part. */
+bool ChunkFraming::readLine(std::string_view line)
 {
-    const std::string text = std::exchange(m_line, {});
-    const std::string_view line = withoutLineEnd(text);
     // A single LF is allowed in place of CRLF after fields only.
-    bool isAllowed = m_part == Part::Trailer || text.ends_with("\r\n");
+    if (m_part != Part::Trailer && !line.ends_with("\r\n"))
+        return false;
+    line = withoutLineEnd(line);
     switch (m_part) {
     case Part::SizeLine:
-        isAllowed = isAllowed && readSizeLine(line);
-        break;
+        return readSizeLine(line);
     case Part::DataEnd:
-        isAllowed = isAllowed && line.empty();
         m_part = Part::SizeLine;
-        break;
+        return line.empty();
     case Part::Trailer:
-        isAllowed = readTrailerLine(line);
-        break;
+        return readTrailerLine(line);
     case Part::Data:
     case Part::Nothing:
-        isAllowed = false;
+        break;
     }
-    return isAllowed ? std::error_code{} : TransportError::AnswerMalformed;
+    return false;
 }
 
 /** \returns whether \a line is the size of a chunk, perhaps with blanks and extensions after it. */
--- a/src/libbulrushio/connection/chunkframing.h
+++ b/src/libbulrushio/connection/chunkframing.h
@@ -32,11 +32,11 @@
     bool isComplete() const;
 
 private:
-    /** What the next bytes belong to. */
+    /** What the next bytes belong to; to nothing after the trailer. */
     enum class Part { SizeLine, Data, DataEnd, Trailer, Nothing };
 
     std::size_t skipData(std::size_t length);
-    std::error_code endLine();
+    bool readLine(std::string_view line);
     bool readSizeLine(std::string_view line);
     bool readTrailerLine(std::string_view line);
 
--- a/src/libbulrushio/connection/curltransfer.cpp
+++ b/src/libbulrushio/connection/curltransfer.cpp
@@ -225,7 +225,7 @@
 {
     auto *transfer = static_cast<CurlTransfer *>(self);
     transfer->readHeaderLine({bytes, size * count});
-    return transfer->m_isHeadMalformed || transfer->m_isMismatched ? 0 : size * count;
+    return transfer->m_isMalformed || transfer->m_isMismatched ? 0 : size * count;
 }
 
 bool CurlTransfer::prepare()
@@ -312,9 +312,9 @@
 void CurlTransfer::readHeaderLine(std::string_view line)
 {
     const bool isTrailer = m_answerHead.isFinal();
-    m_isHeadMalformed =
+    m_isMalformed =
         m_answerHead.readLine(line) || m_answerHead.headers().size() > maxResponseFields;
-    if (!m_isHeadMalformed && !isTrailer && m_answerHead.isFinal())
+    if (!m_isMalformed && !isTrailer && m_answerHead.isFinal())
         completeHead();
 }
 
@@ -349,7 +349,7 @@
 
 std::error_code CurlTransfer::toTransportError(CURLcode code) const
 {
-    if (m_isHeadMalformed)
+    if (m_isMalformed)
         return TransportError::AnswerMalformed;
     if (m_isMismatched)
         return TransportError::AnswerMismatched;
--- a/src/libbulrushio/connection/curltransfer.h
+++ b/src/libbulrushio/connection/curltransfer.h
@@ -118,7 +118,8 @@
     ResponseHead m_head;
     bool m_isHeadComplete = false;
     bool m_isHeadDelivered = false;
-    bool m_isHeadMalformed = false;
+    /** A line of the head or of the trailer is invalid. */
+    bool m_isMalformed = false;
     bool m_isFramed = false;
     bool m_isMismatched = false;
     std::string m_incoming;
--- a/tests/bulrushctl/test_platformaccess.cpp
+++ b/tests/bulrushctl/test_platformaccess.cpp
@@ -70,7 +70,7 @@
         BOOST_CHECK_MESSAGE(commitAfter(scripted).outcome == CommitOutcome::Unknown, scripted);
 }
 
-BOOST_AUTO_TEST_CASE(answerWhoseStatusIsNoneLeavesTheOutcomeUnknown)
+BOOST_AUTO_TEST_CASE(answerWithInvalidStatusLeavesTheOutcomeUnknown)
 {
     const std::string committed = R"({"committed": true, "versions": [8]})";
     for (const std::string status : {"000 OK", "099 OK", "0200 OK", "1000 OK", "999 OK"}) {
@@ -82,7 +82,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(answerWithAFieldThatIsNoneLeavesTheOutcomeUnknown)
+BOOST_AUTO_TEST_CASE(answerWithInvalidFieldLeavesTheOutcomeUnknown)
 {
     const std::string committed = R"({"committed": true, "versions": [8]})";
     for (const std::string line :
--- a/tests/entryfleet/test_entrybrokenanswers.cpp
+++ b/tests/entryfleet/test_entrybrokenanswers.cpp
@@ -61,7 +61,7 @@
  * Checks that callers get a 502 in place of each of \a answers. The server answers uploads with
  * them, one after the other, and all else soundly.
  */
-void expectThatNoneIsPassedOn(const std::vector<Answer> &answers)
+void expectBadGatewayForEach(const std::vector<Answer> &answers)
 {
     std::atomic<std::size_t> uploads = 0;
     ScriptedFleet fleet{[&](Socket &socket, int) -> asio::awaitable<void> {
@@ -82,7 +82,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(answerWhoseStatusIsNoneReachesNoCaller)
+BOOST_AUTO_TEST_CASE(answerWithInvalidStatusReachesNoCaller)
 {
     std::vector<Answer> answers;
     for (const std::string status : {"000", "00", "99", "0200", "1000", "999"})
@@ -91,10 +91,10 @@
             return "HTTP/1.1 " + status + " Broken\r\n" + ownFields(head)
                 + "Content-Length: 0\r\n\r\n" + soundAnswerTo(head);
         });
-    expectThatNoneIsPassedOn(answers);
+    expectBadGatewayForEach(answers);
 }
 
-BOOST_AUTO_TEST_CASE(answerWithAFieldThatIsNoneReachesNoCaller)
+BOOST_AUTO_TEST_CASE(answerWithInvalidFieldReachesNoCaller)
 {
     std::vector<Answer> answers;
     for (const std::string line : {"Some Name: x", "Content-Length : 3", "Name\t: x", "Na\x01me: x",
@@ -103,12 +103,12 @@
             std::string answer = soundAnswerTo(head);
             return answer.insert(answer.find("\r\n") + 2, line + "\r\n");
         });
-    expectThatNoneIsPassedOn(answers);
+    expectBadGatewayForEach(answers);
 }
 
 BOOST_AUTO_TEST_CASE(brokenAnswerThatStatesThatTheRequestDidNotRunProvesNothing)
 {
-    expectThatNoneIsPassedOn({[](const std::string &head) {
+    expectBadGatewayForEach({[](const std::string &head) {
         return "HTTP/1.1 503 Busy\r\n" + ownFields(head)
             + "X-Bulrushswitch-Not-Executed: 1\r\nSome Name: x\r\nContent-Length: 0\r\n\r\n";
     }});
@@ -122,10 +122,10 @@
             return "HTTP/1.1 200 OK\r\n" + ownFields(head) + "Transfer-Encoding: " + coding
                 + "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
         });
-    expectThatNoneIsPassedOn(answers);
+    expectBadGatewayForEach(answers);
 }
 
-BOOST_AUTO_TEST_CASE(answerWhoseChunksAreNoneReachesNoCaller)
+BOOST_AUTO_TEST_CASE(answerWithInvalidChunksReachesNoCaller)
 {
     std::vector<Answer> answers;
     for (const std::string body :
@@ -135,7 +135,7 @@
             return "HTTP/1.1 200 OK\r\n" + ownFields(head) + "Transfer-Encoding: chunked\r\n\r\n"
                 + body;
         });
-    expectThatNoneIsPassedOn(answers);
+    expectBadGatewayForEach(answers);
 }
 
 BOOST_AUTO_TEST_CASE(partOfAnAnswerThatIsResetDuringALongUploadIsNoAnswer)
--- a/tests/serverclient/test_answerparser.cpp
+++ b/tests/serverclient/test_answerparser.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::size_t bodyLimit = 100;
+/** More than the lines of an answer may have. */
+constexpr std::size_t tooLongLineBytes = 70'000;
 
 const std::string completeAnswer =
     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nKeep-Alive: timeout=7\r\n\r\nhello";
@@ -86,14 +88,14 @@
     garbage.feed("\x01\x02 no answer at all\r\n\r\n");
     BOOST_TEST(garbage.error() == TransportError::AnswerMalformed);
     AnswerParser endlessLine{bodyLimit};
-    endlessLine.feed("HTTP/1.1 200 " + std::string(70'000, 'x'));
+    endlessLine.feed("HTTP/1.1 200 " + std::string(tooLongLineBytes, 'x'));
     BOOST_TEST(endlessLine.error() == TransportError::AnswerTooLarge);
     AnswerParser tooLong{bodyLimit};
     tooLong.feed("HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n" + std::string(200, 'x'));
     BOOST_TEST(tooLong.error() == TransportError::AnswerTooLarge);
 }
 
-BOOST_AUTO_TEST_CASE(answerWhoseStatusIsNoneIsMalformed)
+BOOST_AUTO_TEST_CASE(answerWithInvalidStatusIsMalformed)
 {
     for (const std::string status : {"000", "00", "0", "99", "099", "1000", "0200", "20", "-200",
                                      "2 0", "2x0", "600", "999", "", " 200", "200x"}) {
@@ -132,7 +134,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(answerWithAFieldThatIsNoneIsMalformed)
+BOOST_AUTO_TEST_CASE(answerWithInvalidFieldIsMalformed)
 {
     const std::string nul(1, '\0');
     for (const std::string &line : {std::string{"Content-Length : 3"},
@@ -203,7 +205,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(answerWhoseLengthIsNoneIsMalformed)
+BOOST_AUTO_TEST_CASE(answerWithInvalidLengthIsMalformed)
 {
     for (const std::string length :
          {"", "+5", "-5", "5a", "0x5", "5 5", "5, 5", "5;", "5.0", "99999999999999999999",
@@ -216,7 +218,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(answerWhoseChunksAreNoneIsMalformed)
+BOOST_AUTO_TEST_CASE(answerWithInvalidChunksIsMalformed)
 {
     for (const std::string body : {"5\r\nhelloXY0\r\n\r\n",
                                    "5\r\nhello\rX0\r\n\r\n",
@@ -255,7 +257,7 @@
 {
     AnswerParser parser{bodyLimit};
     parser.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;"
-                + std::string(70'000, 'x'));
+                + std::string(tooLongLineBytes, 'x'));
     BOOST_TEST(parser.error() == TransportError::AnswerTooLarge);
 }
 
